--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -13,7 +13,8 @@
 
 # Applies the project's include folder and warnings to a target.
 function(goldcrestgate_target target)
-    target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+    target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/include
+        ${PROJECT_SOURCE_DIR})
     target_compile_options(${target} PRIVATE
         -Wall -Wextra -Wconversion -Wshadow -Werror)
     goldcrestgate_sanitize(${target})
--- /dev/null
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "goldcrestgate/app/entry/entry_log.hpp"
+#include "goldcrestgate/app/entry/entry_metrics.hpp"
+#include "goldcrestgate/app/entry/entry_settings.hpp"
+#include "goldcrestgate/app/entry/executor_directory.hpp"
+#include "goldcrestgate/app/entry/executor_orders.hpp"
+#include "goldcrestgate/app/entry/topic_watch.hpp"
+#include "goldcrestgate/core/events.hpp"
+#include "goldcrestgate/core/leasing/domain_ownership.hpp"
+#include "goldcrestgate/core/leasing/job_gateway.hpp"
+#include "goldcrestgate/core/leasing/job_scheduler.hpp"
+#include "goldcrestgate/core/leasing/route_table.hpp"
+#include "goldcrestgate/io/http_server.hpp"
+#include "goldcrestgate/io/peer_network.hpp"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace goldcrestgate::app
+{
+
+/// @brief Returns the id of the instance at a peer address: its IPv4 address.
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] std::optional<core::instance_id>
+instance_of(std::string_view peer_address);
+
+/// @brief An entry instance on a platform of leased executors: it takes jobs
+/// from callers, passes them to the owners of executors and, while it is one
+/// itself, runs jobs of all instances.
+///
+/// @par Thread safety
+/// All members are for the thread of the loop.
+class entry_instance
+{
+public:
+    /// @pre the arguments outlive the instance
+    entry_instance(io::event_loop& loop, entry_settings const& settings,
+                   logger& log);
+    ~entry_instance();
+
+    /// @brief Listens and runs until the instance has stopped.
+    /// @return an error of code `address_in_use` if an address is not usable
+    core::result<void> run();
+
+    /// @brief Begins a graceful stop; a second call ends at once.
+    void stop();
+
+private:
+    // callers
+    void add_caller_routes();
+    void submit(io::http_request const& request, io::http_reply const& reply);
+    void query(io::http_request const& request,
+               io::http_reply const& reply) const;
+    void refuse(io::http_reply const& reply, std::uint16_t status,
+                std::string_view reason, std::string_view detail);
+    [[nodiscard]] core::job_route const*
+    find_route(io::http_request const& request) const;
+
+    // the core's actions
+    void apply(std::vector<core::gateway_action> const& actions);
+    void apply(std::vector<core::scheduler_action> const& actions);
+    void apply(core::send_offer const& action);
+    void apply(core::send_withdrawal const& action);
+    void apply(core::answer_job const& action);
+    void apply(core::report_verdict const& action);
+    void apply(core::scheduling_note const& action);
+
+    // peers
+    void on_peer_event(core::event&& event);
+    void on_message(core::instance_key const& from,
+                    core::peer_message& message);
+    void on_connected(core::instance_key const& peer);
+    void connect(std::string_view peer_address);
+    void send(core::instance_id peer, core::peer_message message);
+    void send_heartbeats();
+
+    // the platform
+    void watch_platform();
+    void announce();
+    void on_configuration(adapter::topic_page const& page);
+    void use_configuration(std::string const& document, bool pass_on);
+    [[nodiscard]] topic_sinks
+    sinks_of(std::string_view name,
+             std::function<void(adapter::topic_page const&)> changed);
+    [[nodiscard]] topic_sinks executor_sinks();
+
+    // time
+    void tick();
+    void decide_ownership();
+    void finish_stop();
+    [[nodiscard]] std::vector<core::owner_view> owners() const;
+    [[nodiscard]] bool is_ready() const;
+
+    io::event_loop& loop_;
+    entry_settings const& settings_;
+    logger& log_;
+    entry_metrics metrics_;
+    std::map<std::string, core::domain_id, std::less<>> domains_;
+    core::instance_key self_;
+
+    core::route_table routes_;
+    std::string configuration_;
+    core::domain_ownership ownership_;
+    core::job_gateway gateway_;
+    core::job_scheduler scheduler_;
+
+    io::http_server callers_;
+    io::http_server readiness_;
+    io::http_server metrics_server_;
+    io::peer_network peers_;
+    executor_orders orders_;
+    executor_directory directory_;
+    adapter::store_client store_;
+    topic_watch configuration_watch_;
+    topic_watch executors_watch_;
+    topic_watch instances_watch_;
+    io::timer tick_;
+    io::timer heartbeat_;
+    io::timer announce_;
+
+    std::unordered_map<core::request_id, io::http_reply> requests_;
+    std::uint64_t last_request_ = 0;
+    std::map<core::instance_id, core::instance_key> connected_;
+    std::map<core::instance_id, std::string> known_peers_;
+    std::uint64_t claimed_term_ = 0;
+    core::time_point store_reachable_since_{};
+    bool ready_logged_ = false;
+    bool stopping_ = false;
+    bool callers_closed_ = false;
+    core::time_point stopping_since_{};
+};
+
+} // namespace goldcrestgate::app
--- /dev/null
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "goldcrestgate/app/detail/settings_table.hpp"
+#include "goldcrestgate/app/log_level.hpp"
+#include "goldcrestgate/core/result.hpp"
+#include "goldcrestgate/core/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace goldcrestgate::app
+{
+
+/// @brief The settings of an entry instance on a platform of leased executors.
+///
+/// The members of a default-constructed object are zero; the defaults are in
+/// the schema.
+struct entry_settings
+{
+    // place
+    std::string name;
+    std::string failure_domain;
+    /// Names of all failure domains, separated by commas.
+    std::string failure_domains;
+    /// Share of a processor core; the largest instance owns the executors.
+    double cpu_share = 0;
+
+    // addresses, `IP:port`
+    std::string callers_address;
+    std::string readiness_address;
+    std::string peers_address;
+    std::string metrics_address;
+    std::string store_address;
+    /// Peer addresses to try at the start, separated by commas.
+    std::string seed_addresses;
+
+    // executors
+    core::duration longest_lease{};
+    core::duration stop_time{};
+
+    // callers
+    core::duration resubmission_delay{};
+    std::uint64_t body_limit_bytes = 0;
+    std::uint32_t caller_connection_limit = 0;
+    core::duration stop_grace{};
+
+    // logs
+    app::log_level log_level = log_level::info;
+    std::uint32_t log_queue_limit_lines = 0;
+};
+
+using entry_settings_check = settings_check<entry_settings>;
+
+/// @brief Checks the text of a settings file and reports all faults at once.
+/// @param text JSON with comments, in UTF-8
+/// @param file the name that faults give
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] entry_settings_check check_entry_settings(std::string_view text,
+                                                        std::string_view file);
+
+/// @brief Reads and checks a settings file.
+/// @return the check's outcome; `file_unreadable` if the file cannot be read
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] core::result<entry_settings_check>
+read_entry_settings(std::string const& file);
+
+/// @brief Prints the schema of the settings file as Markdown.
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] std::string describe_entry_settings();
+
+} // namespace goldcrestgate::app
--- a/include/goldcrestgate/app/instance_settings.hpp
+++ b/include/goldcrestgate/app/instance_settings.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "goldcrestgate/app/detail/settings_table.hpp"
+#include "goldcrestgate/app/log_level.hpp"
 #include "goldcrestgate/core/ids.hpp"
 #include "goldcrestgate/core/result.hpp"
 #include "goldcrestgate/core/settings/fault.hpp"
@@ -14,15 +16,6 @@
 namespace goldcrestgate::app
 {
 
-/// Log lines below this level are not written.
-enum class log_level : std::uint8_t
-{
-    debug,
-    info,
-    warning,
-    error
-};
-
 /// @brief The settings of one process, from its own file.
 ///
 /// The members of a default-constructed object are zero; the defaults are in
@@ -73,13 +66,7 @@
     std::uint32_t log_queue_limit_lines = 0;
 };
 
-/// @brief What became of a settings file: settings, or all of its faults.
-struct instance_settings_check
-{
-    instance_settings settings;
-    /// Empty for an accepted file; the settings are not to be used otherwise.
-    std::vector<core::settings_fault> faults;
-};
+using instance_settings_check = settings_check<instance_settings>;
 
 /// @brief Returns the settings that a file without any optional key gives.
 ///
--- a/include/goldcrestgate/core/messages.hpp
+++ b/include/goldcrestgate/core/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestgate/core/ids.hpp"
+#include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/routing/slot_exchange.hpp"
 #include "goldcrestgate/core/task.hpp"
 
@@ -216,6 +217,7 @@
     std::variant<hello, heartbeat, probe_request, probe_reply, copy_batch,
                  copy_ack, copy_refused, seal_request, seal_reply,
                  forward_request, forward_reply, settings_pull, settings_push,
-                 slot_message>;
+                 slot_message, job_offer, job_withdrawal, job_verdict,
+                 owner_heartbeat, peer_addresses, published_configuration>;
 
 } // namespace goldcrestgate::core
--- a/include/goldcrestgate/core/settings/schema.hpp
+++ b/include/goldcrestgate/core/settings/schema.hpp
@@ -46,7 +46,11 @@
     /// `IP:port`; an IPv6 address stands in brackets.
     address,
     /// One of the words in @ref text_rule::choices.
-    choice
+    choice,
+    /// Labels joined by commas; at least one.
+    labels,
+    /// Addresses joined by commas; may be empty.
+    addresses
 };
 
 /// @brief A key whose value is a text of a certain form.
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -82,6 +82,29 @@
 struct SlotNote;
 struct SlotNoteBuilder;
 
+struct Amounts;
+
+struct TaskGroup;
+struct TaskGroupBuilder;
+
+struct JobOffer;
+struct JobOfferBuilder;
+
+struct JobWithdrawal;
+struct JobWithdrawalBuilder;
+
+struct JobVerdict;
+struct JobVerdictBuilder;
+
+struct OwnerHeartbeat;
+struct OwnerHeartbeatBuilder;
+
+struct PeerAddresses;
+struct PeerAddressesBuilder;
+
+struct PublishedConfiguration;
+struct PublishedConfigurationBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -170,11 +193,17 @@
   SettingsPull = 12,
   SettingsPush = 13,
   SlotNote = 14,
+  JobOffer = 15,
+  JobWithdrawal = 16,
+  JobVerdict = 17,
+  OwnerHeartbeat = 18,
+  PeerAddresses = 19,
+  PublishedConfiguration = 20,
   MIN = NONE,
-  MAX = SlotNote
+  MAX = PublishedConfiguration
 };
 
-inline const Message (&EnumValuesMessage())[15] {
+inline const Message (&EnumValuesMessage())[21] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -190,13 +219,19 @@
     Message::ForwardReply,
     Message::SettingsPull,
     Message::SettingsPush,
-    Message::SlotNote
+    Message::SlotNote,
+    Message::JobOffer,
+    Message::JobWithdrawal,
+    Message::JobVerdict,
+    Message::OwnerHeartbeat,
+    Message::PeerAddresses,
+    Message::PublishedConfiguration
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[16] = {
+  static const char * const names[22] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -212,13 +247,19 @@
     "SettingsPull",
     "SettingsPush",
     "SlotNote",
+    "JobOffer",
+    "JobWithdrawal",
+    "JobVerdict",
+    "OwnerHeartbeat",
+    "PeerAddresses",
+    "PublishedConfiguration",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::SlotNote)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::PublishedConfiguration)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -283,6 +324,30 @@
   static const Message enum_value = Message::SlotNote;
 };
 
+template<> struct MessageTraits<goldcrestgate::wire::detail::JobOffer> {
+  static const Message enum_value = Message::JobOffer;
+};
+
+template<> struct MessageTraits<goldcrestgate::wire::detail::JobWithdrawal> {
+  static const Message enum_value = Message::JobWithdrawal;
+};
+
+template<> struct MessageTraits<goldcrestgate::wire::detail::JobVerdict> {
+  static const Message enum_value = Message::JobVerdict;
+};
+
+template<> struct MessageTraits<goldcrestgate::wire::detail::OwnerHeartbeat> {
+  static const Message enum_value = Message::OwnerHeartbeat;
+};
+
+template<> struct MessageTraits<goldcrestgate::wire::detail::PeerAddresses> {
+  static const Message enum_value = Message::PeerAddresses;
+};
+
+template<> struct MessageTraits<goldcrestgate::wire::detail::PublishedConfiguration> {
+  static const Message enum_value = Message::PublishedConfiguration;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -418,6 +483,40 @@
   using type = SlotTransfer;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Amounts FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t cpu_millicores_;
+  uint32_t memory_mb_;
+  uint32_t accelerators_;
+
+ public:
+  struct Traits;
+  Amounts()
+      : cpu_millicores_(0),
+        memory_mb_(0),
+        accelerators_(0) {
+  }
+  Amounts(uint32_t _cpu_millicores, uint32_t _memory_mb, uint32_t _accelerators)
+      : cpu_millicores_(flatbuffers::EndianScalar(_cpu_millicores)),
+        memory_mb_(flatbuffers::EndianScalar(_memory_mb)),
+        accelerators_(flatbuffers::EndianScalar(_accelerators)) {
+  }
+  uint32_t cpu_millicores() const {
+    return flatbuffers::EndianScalar(cpu_millicores_);
+  }
+  uint32_t memory_mb() const {
+    return flatbuffers::EndianScalar(memory_mb_);
+  }
+  uint32_t accelerators() const {
+    return flatbuffers::EndianScalar(accelerators_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Amounts, 12);
+
+struct Amounts::Traits {
+  using type = Amounts;
+};
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   struct Traits;
@@ -2014,6 +2113,656 @@
       transfers__);
 }
 
+struct TaskGroup FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TaskGroupBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK_COUNT = 4,
+    VT_EACH_TASK = 6,
+    VT_ESTIMATE_US = 8,
+    VT_REQUIRED_LABEL = 10,
+    VT_PREFERRED_RACK = 12,
+    VT_MAX_PER_EXECUTOR = 14,
+    VT_AFTER = 16
+  };
+  uint16_t task_count() const {
+    return GetField<uint16_t>(VT_TASK_COUNT, 0);
+  }
+  const goldcrestgate::wire::detail::Amounts *each_task() const {
+    return GetStruct<const goldcrestgate::wire::detail::Amounts *>(VT_EACH_TASK);
+  }
+  int64_t estimate_us() const {
+    return GetField<int64_t>(VT_ESTIMATE_US, 0);
+  }
+  const flatbuffers::String *required_label() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUIRED_LABEL);
+  }
+  const flatbuffers::String *preferred_rack() const {
+    return GetPointer<const flatbuffers::String *>(VT_PREFERRED_RACK);
+  }
+  uint16_t max_per_executor() const {
+    return GetField<uint16_t>(VT_MAX_PER_EXECUTOR, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *after() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_AFTER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint16_t>(verifier, VT_TASK_COUNT, 2) &&
+           VerifyFieldRequired<goldcrestgate::wire::detail::Amounts>(verifier, VT_EACH_TASK, 4) &&
+           VerifyField<int64_t>(verifier, VT_ESTIMATE_US, 8) &&
+           VerifyOffsetRequired(verifier, VT_REQUIRED_LABEL) &&
+           verifier.VerifyString(required_label()) &&
+           VerifyOffsetRequired(verifier, VT_PREFERRED_RACK) &&
+           verifier.VerifyString(preferred_rack()) &&
+           VerifyField<uint16_t>(verifier, VT_MAX_PER_EXECUTOR, 2) &&
+           VerifyOffsetRequired(verifier, VT_AFTER) &&
+           verifier.VerifyVector(after()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TaskGroupBuilder {
+  typedef TaskGroup Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task_count(uint16_t task_count) {
+    fbb_.AddElement<uint16_t>(TaskGroup::VT_TASK_COUNT, task_count, 0);
+  }
+  void add_each_task(const goldcrestgate::wire::detail::Amounts *each_task) {
+    fbb_.AddStruct(TaskGroup::VT_EACH_TASK, each_task);
+  }
+  void add_estimate_us(int64_t estimate_us) {
+    fbb_.AddElement<int64_t>(TaskGroup::VT_ESTIMATE_US, estimate_us, 0);
+  }
+  void add_required_label(flatbuffers::Offset<flatbuffers::String> required_label) {
+    fbb_.AddOffset(TaskGroup::VT_REQUIRED_LABEL, required_label);
+  }
+  void add_preferred_rack(flatbuffers::Offset<flatbuffers::String> preferred_rack) {
+    fbb_.AddOffset(TaskGroup::VT_PREFERRED_RACK, preferred_rack);
+  }
+  void add_max_per_executor(uint16_t max_per_executor) {
+    fbb_.AddElement<uint16_t>(TaskGroup::VT_MAX_PER_EXECUTOR, max_per_executor, 0);
+  }
+  void add_after(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> after) {
+    fbb_.AddOffset(TaskGroup::VT_AFTER, after);
+  }
+  explicit TaskGroupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TaskGroup> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TaskGroup>(end);
+    fbb_.Required(o, TaskGroup::VT_EACH_TASK);
+    fbb_.Required(o, TaskGroup::VT_REQUIRED_LABEL);
+    fbb_.Required(o, TaskGroup::VT_PREFERRED_RACK);
+    fbb_.Required(o, TaskGroup::VT_AFTER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TaskGroup> CreateTaskGroup(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t task_count = 0,
+    const goldcrestgate::wire::detail::Amounts *each_task = nullptr,
+    int64_t estimate_us = 0,
+    flatbuffers::Offset<flatbuffers::String> required_label = 0,
+    flatbuffers::Offset<flatbuffers::String> preferred_rack = 0,
+    uint16_t max_per_executor = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> after = 0) {
+  TaskGroupBuilder builder_(_fbb);
+  builder_.add_estimate_us(estimate_us);
+  builder_.add_after(after);
+  builder_.add_preferred_rack(preferred_rack);
+  builder_.add_required_label(required_label);
+  builder_.add_each_task(each_task);
+  builder_.add_max_per_executor(max_per_executor);
+  builder_.add_task_count(task_count);
+  return builder_.Finish();
+}
+
+struct TaskGroup::Traits {
+  using type = TaskGroup;
+  static auto constexpr Create = CreateTaskGroup;
+};
+
+inline flatbuffers::Offset<TaskGroup> CreateTaskGroupDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t task_count = 0,
+    const goldcrestgate::wire::detail::Amounts *each_task = nullptr,
+    int64_t estimate_us = 0,
+    const char *required_label = nullptr,
+    const char *preferred_rack = nullptr,
+    uint16_t max_per_executor = 0,
+    const std::vector<uint16_t> *after = nullptr) {
+  auto required_label__ = required_label ? _fbb.CreateString(required_label) : 0;
+  auto preferred_rack__ = preferred_rack ? _fbb.CreateString(preferred_rack) : 0;
+  auto after__ = after ? _fbb.CreateVector<uint16_t>(*after) : 0;
+  return goldcrestgate::wire::detail::CreateTaskGroup(
+      _fbb,
+      task_count,
+      each_task,
+      estimate_us,
+      required_label__,
+      preferred_rack__,
+      max_per_executor,
+      after__);
+}
+
+struct JobOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobOfferBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_SERVICE = 6,
+    VT_PAYLOAD = 8,
+    VT_GROUPS = 10,
+    VT_MAX_ATTEMPTS = 12,
+    VT_PRIORITY = 14,
+    VT_OBJECTIVE_US = 16,
+    VT_TIME_LIMIT_US = 18,
+    VT_ELAPSED_US = 20,
+    VT_RESUMED = 22
+  };
+  uint64_t job() const {
+    return GetField<uint64_t>(VT_JOB, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>> *groups() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>> *>(VT_GROUPS);
+  }
+  uint16_t max_attempts() const {
+    return GetField<uint16_t>(VT_MAX_ATTEMPTS, 0);
+  }
+  uint8_t priority() const {
+    return GetField<uint8_t>(VT_PRIORITY, 0);
+  }
+  int64_t objective_us() const {
+    return GetField<int64_t>(VT_OBJECTIVE_US, 0);
+  }
+  int64_t time_limit_us() const {
+    return GetField<int64_t>(VT_TIME_LIMIT_US, 0);
+  }
+  int64_t elapsed_us() const {
+    return GetField<int64_t>(VT_ELAPSED_US, 0);
+  }
+  bool resumed() const {
+    return GetField<uint8_t>(VT_RESUMED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffsetRequired(verifier, VT_PAYLOAD) &&
+           verifier.VerifyString(payload()) &&
+           VerifyOffsetRequired(verifier, VT_GROUPS) &&
+           verifier.VerifyVector(groups()) &&
+           verifier.VerifyVectorOfTables(groups()) &&
+           VerifyField<uint16_t>(verifier, VT_MAX_ATTEMPTS, 2) &&
+           VerifyField<uint8_t>(verifier, VT_PRIORITY, 1) &&
+           VerifyField<int64_t>(verifier, VT_OBJECTIVE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_TIME_LIMIT_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_ELAPSED_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESUMED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobOfferBuilder {
+  typedef JobOffer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(uint64_t job) {
+    fbb_.AddElement<uint64_t>(JobOffer::VT_JOB, job, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(JobOffer::VT_SERVICE, service);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(JobOffer::VT_PAYLOAD, payload);
+  }
+  void add_groups(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>> groups) {
+    fbb_.AddOffset(JobOffer::VT_GROUPS, groups);
+  }
+  void add_max_attempts(uint16_t max_attempts) {
+    fbb_.AddElement<uint16_t>(JobOffer::VT_MAX_ATTEMPTS, max_attempts, 0);
+  }
+  void add_priority(uint8_t priority) {
+    fbb_.AddElement<uint8_t>(JobOffer::VT_PRIORITY, priority, 0);
+  }
+  void add_objective_us(int64_t objective_us) {
+    fbb_.AddElement<int64_t>(JobOffer::VT_OBJECTIVE_US, objective_us, 0);
+  }
+  void add_time_limit_us(int64_t time_limit_us) {
+    fbb_.AddElement<int64_t>(JobOffer::VT_TIME_LIMIT_US, time_limit_us, 0);
+  }
+  void add_elapsed_us(int64_t elapsed_us) {
+    fbb_.AddElement<int64_t>(JobOffer::VT_ELAPSED_US, elapsed_us, 0);
+  }
+  void add_resumed(bool resumed) {
+    fbb_.AddElement<uint8_t>(JobOffer::VT_RESUMED, static_cast<uint8_t>(resumed), 0);
+  }
+  explicit JobOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobOffer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobOffer>(end);
+    fbb_.Required(o, JobOffer::VT_SERVICE);
+    fbb_.Required(o, JobOffer::VT_PAYLOAD);
+    fbb_.Required(o, JobOffer::VT_GROUPS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobOffer> CreateJobOffer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t job = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>> groups = 0,
+    uint16_t max_attempts = 0,
+    uint8_t priority = 0,
+    int64_t objective_us = 0,
+    int64_t time_limit_us = 0,
+    int64_t elapsed_us = 0,
+    bool resumed = false) {
+  JobOfferBuilder builder_(_fbb);
+  builder_.add_elapsed_us(elapsed_us);
+  builder_.add_time_limit_us(time_limit_us);
+  builder_.add_objective_us(objective_us);
+  builder_.add_job(job);
+  builder_.add_groups(groups);
+  builder_.add_payload(payload);
+  builder_.add_service(service);
+  builder_.add_max_attempts(max_attempts);
+  builder_.add_resumed(resumed);
+  builder_.add_priority(priority);
+  return builder_.Finish();
+}
+
+struct JobOffer::Traits {
+  using type = JobOffer;
+  static auto constexpr Create = CreateJobOffer;
+};
+
+inline flatbuffers::Offset<JobOffer> CreateJobOfferDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t job = 0,
+    const char *service = nullptr,
+    const char *payload = nullptr,
+    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>> *groups = nullptr,
+    uint16_t max_attempts = 0,
+    uint8_t priority = 0,
+    int64_t objective_us = 0,
+    int64_t time_limit_us = 0,
+    int64_t elapsed_us = 0,
+    bool resumed = false) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>(*groups) : 0;
+  return goldcrestgate::wire::detail::CreateJobOffer(
+      _fbb,
+      job,
+      service__,
+      payload__,
+      groups__,
+      max_attempts,
+      priority,
+      objective_us,
+      time_limit_us,
+      elapsed_us,
+      resumed);
+}
+
+struct JobWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobWithdrawalBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4
+  };
+  uint64_t job() const {
+    return GetField<uint64_t>(VT_JOB, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobWithdrawalBuilder {
+  typedef JobWithdrawal Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(uint64_t job) {
+    fbb_.AddElement<uint64_t>(JobWithdrawal::VT_JOB, job, 0);
+  }
+  explicit JobWithdrawalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobWithdrawal> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobWithdrawal>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobWithdrawal> CreateJobWithdrawal(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t job = 0) {
+  JobWithdrawalBuilder builder_(_fbb);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+struct JobWithdrawal::Traits {
+  using type = JobWithdrawal;
+  static auto constexpr Create = CreateJobWithdrawal;
+};
+
+struct JobVerdict FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobVerdictBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_OUTCOME = 6,
+    VT_RETRY_AFTER_US = 8
+  };
+  uint64_t job() const {
+    return GetField<uint64_t>(VT_JOB, 0);
+  }
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  int64_t retry_after_us() const {
+    return GetField<int64_t>(VT_RETRY_AFTER_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobVerdictBuilder {
+  typedef JobVerdict Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(uint64_t job) {
+    fbb_.AddElement<uint64_t>(JobVerdict::VT_JOB, job, 0);
+  }
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(JobVerdict::VT_OUTCOME, outcome, 0);
+  }
+  void add_retry_after_us(int64_t retry_after_us) {
+    fbb_.AddElement<int64_t>(JobVerdict::VT_RETRY_AFTER_US, retry_after_us, 0);
+  }
+  explicit JobVerdictBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobVerdict> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobVerdict>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobVerdict> CreateJobVerdict(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t job = 0,
+    uint8_t outcome = 0,
+    int64_t retry_after_us = 0) {
+  JobVerdictBuilder builder_(_fbb);
+  builder_.add_retry_after_us(retry_after_us);
+  builder_.add_job(job);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct JobVerdict::Traits {
+  using type = JobVerdict;
+  static auto constexpr Create = CreateJobVerdict;
+};
+
+struct OwnerHeartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OwnerHeartbeatBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_HIGHEST_TERM = 6,
+    VT_WEIGHT = 8,
+    VT_LEAVING = 10,
+    VT_FREE_MILLICORES = 12,
+    VT_EXPECTED_WAIT_US = 14
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  uint64_t highest_term() const {
+    return GetField<uint64_t>(VT_HIGHEST_TERM, 0);
+  }
+  uint32_t weight() const {
+    return GetField<uint32_t>(VT_WEIGHT, 0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  uint32_t free_millicores() const {
+    return GetField<uint32_t>(VT_FREE_MILLICORES, 0);
+  }
+  int64_t expected_wait_us() const {
+    return GetField<int64_t>(VT_EXPECTED_WAIT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HIGHEST_TERM, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WEIGHT, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_FREE_MILLICORES, 4) &&
+           VerifyField<int64_t>(verifier, VT_EXPECTED_WAIT_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct OwnerHeartbeatBuilder {
+  typedef OwnerHeartbeat Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(OwnerHeartbeat::VT_TERM, term, 0);
+  }
+  void add_highest_term(uint64_t highest_term) {
+    fbb_.AddElement<uint64_t>(OwnerHeartbeat::VT_HIGHEST_TERM, highest_term, 0);
+  }
+  void add_weight(uint32_t weight) {
+    fbb_.AddElement<uint32_t>(OwnerHeartbeat::VT_WEIGHT, weight, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(OwnerHeartbeat::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_free_millicores(uint32_t free_millicores) {
+    fbb_.AddElement<uint32_t>(OwnerHeartbeat::VT_FREE_MILLICORES, free_millicores, 0);
+  }
+  void add_expected_wait_us(int64_t expected_wait_us) {
+    fbb_.AddElement<int64_t>(OwnerHeartbeat::VT_EXPECTED_WAIT_US, expected_wait_us, 0);
+  }
+  explicit OwnerHeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OwnerHeartbeat> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OwnerHeartbeat>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OwnerHeartbeat> CreateOwnerHeartbeat(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    uint64_t highest_term = 0,
+    uint32_t weight = 0,
+    bool leaving = false,
+    uint32_t free_millicores = 0,
+    int64_t expected_wait_us = 0) {
+  OwnerHeartbeatBuilder builder_(_fbb);
+  builder_.add_expected_wait_us(expected_wait_us);
+  builder_.add_highest_term(highest_term);
+  builder_.add_term(term);
+  builder_.add_free_millicores(free_millicores);
+  builder_.add_weight(weight);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct OwnerHeartbeat::Traits {
+  using type = OwnerHeartbeat;
+  static auto constexpr Create = CreateOwnerHeartbeat;
+};
+
+struct PeerAddresses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PeerAddressesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESSES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *addresses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ADDRESSES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESSES) &&
+           verifier.VerifyVector(addresses()) &&
+           verifier.VerifyVectorOfStrings(addresses()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PeerAddressesBuilder {
+  typedef PeerAddresses Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_addresses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> addresses) {
+    fbb_.AddOffset(PeerAddresses::VT_ADDRESSES, addresses);
+  }
+  explicit PeerAddressesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PeerAddresses> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PeerAddresses>(end);
+    fbb_.Required(o, PeerAddresses::VT_ADDRESSES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PeerAddresses> CreatePeerAddresses(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> addresses = 0) {
+  PeerAddressesBuilder builder_(_fbb);
+  builder_.add_addresses(addresses);
+  return builder_.Finish();
+}
+
+struct PeerAddresses::Traits {
+  using type = PeerAddresses;
+  static auto constexpr Create = CreatePeerAddresses;
+};
+
+inline flatbuffers::Offset<PeerAddresses> CreatePeerAddressesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *addresses = nullptr) {
+  auto addresses__ = addresses ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*addresses) : 0;
+  return goldcrestgate::wire::detail::CreatePeerAddresses(
+      _fbb,
+      addresses__);
+}
+
+struct PublishedConfiguration FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PublishedConfigurationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_DOCUMENT = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *document() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffsetRequired(verifier, VT_DOCUMENT) &&
+           verifier.VerifyVector(document()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PublishedConfigurationBuilder {
+  typedef PublishedConfiguration Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(PublishedConfiguration::VT_VERSION, version, 0);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
+    fbb_.AddOffset(PublishedConfiguration::VT_DOCUMENT, document);
+  }
+  explicit PublishedConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PublishedConfiguration> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PublishedConfiguration>(end);
+    fbb_.Required(o, PublishedConfiguration::VT_DOCUMENT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PublishedConfiguration> CreatePublishedConfiguration(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0) {
+  PublishedConfigurationBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+struct PublishedConfiguration::Traits {
+  using type = PublishedConfiguration;
+  static auto constexpr Create = CreatePublishedConfiguration;
+};
+
+inline flatbuffers::Offset<PublishedConfiguration> CreatePublishedConfigurationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *document = nullptr) {
+  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  return goldcrestgate::wire::detail::CreatePublishedConfiguration(
+      _fbb,
+      version,
+      document__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -2070,6 +2819,24 @@
   const goldcrestgate::wire::detail::SlotNote *message_as_SlotNote() const {
     return message_type() == goldcrestgate::wire::detail::Message::SlotNote ? static_cast<const goldcrestgate::wire::detail::SlotNote *>(message()) : nullptr;
   }
+  const goldcrestgate::wire::detail::JobOffer *message_as_JobOffer() const {
+    return message_type() == goldcrestgate::wire::detail::Message::JobOffer ? static_cast<const goldcrestgate::wire::detail::JobOffer *>(message()) : nullptr;
+  }
+  const goldcrestgate::wire::detail::JobWithdrawal *message_as_JobWithdrawal() const {
+    return message_type() == goldcrestgate::wire::detail::Message::JobWithdrawal ? static_cast<const goldcrestgate::wire::detail::JobWithdrawal *>(message()) : nullptr;
+  }
+  const goldcrestgate::wire::detail::JobVerdict *message_as_JobVerdict() const {
+    return message_type() == goldcrestgate::wire::detail::Message::JobVerdict ? static_cast<const goldcrestgate::wire::detail::JobVerdict *>(message()) : nullptr;
+  }
+  const goldcrestgate::wire::detail::OwnerHeartbeat *message_as_OwnerHeartbeat() const {
+    return message_type() == goldcrestgate::wire::detail::Message::OwnerHeartbeat ? static_cast<const goldcrestgate::wire::detail::OwnerHeartbeat *>(message()) : nullptr;
+  }
+  const goldcrestgate::wire::detail::PeerAddresses *message_as_PeerAddresses() const {
+    return message_type() == goldcrestgate::wire::detail::Message::PeerAddresses ? static_cast<const goldcrestgate::wire::detail::PeerAddresses *>(message()) : nullptr;
+  }
+  const goldcrestgate::wire::detail::PublishedConfiguration *message_as_PublishedConfiguration() const {
+    return message_type() == goldcrestgate::wire::detail::Message::PublishedConfiguration ? static_cast<const goldcrestgate::wire::detail::PublishedConfiguration *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -2135,6 +2902,30 @@
   return message_as_SlotNote();
 }
 
+template<> inline const goldcrestgate::wire::detail::JobOffer *Envelope::message_as<goldcrestgate::wire::detail::JobOffer>() const {
+  return message_as_JobOffer();
+}
+
+template<> inline const goldcrestgate::wire::detail::JobWithdrawal *Envelope::message_as<goldcrestgate::wire::detail::JobWithdrawal>() const {
+  return message_as_JobWithdrawal();
+}
+
+template<> inline const goldcrestgate::wire::detail::JobVerdict *Envelope::message_as<goldcrestgate::wire::detail::JobVerdict>() const {
+  return message_as_JobVerdict();
+}
+
+template<> inline const goldcrestgate::wire::detail::OwnerHeartbeat *Envelope::message_as<goldcrestgate::wire::detail::OwnerHeartbeat>() const {
+  return message_as_OwnerHeartbeat();
+}
+
+template<> inline const goldcrestgate::wire::detail::PeerAddresses *Envelope::message_as<goldcrestgate::wire::detail::PeerAddresses>() const {
+  return message_as_PeerAddresses();
+}
+
+template<> inline const goldcrestgate::wire::detail::PublishedConfiguration *Envelope::message_as<goldcrestgate::wire::detail::PublishedConfiguration>() const {
+  return message_as_PublishedConfiguration();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2274,6 +3065,30 @@
       auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::SlotNote *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::JobOffer: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::JobOffer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::JobWithdrawal: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::JobWithdrawal *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::JobVerdict: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::JobVerdict *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::OwnerHeartbeat: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::OwnerHeartbeat *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::PeerAddresses: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::PeerAddresses *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::PublishedConfiguration: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::PublishedConfiguration *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/src/app/entry/entry_callers.cpp
@@ -0,0 +1,246 @@
+#include "goldcrestgate/app/entry/entry_instance.hpp"
+#include "platform/job_codec.hpp"
+#include "platform/names.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace goldcrestgate::app
+{
+
+namespace
+{
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_bad_request = 400;
+constexpr std::uint16_t status_not_found = 404;
+constexpr std::uint16_t status_gone = 410;
+constexpr std::uint16_t status_too_many = 429;
+constexpr std::uint16_t status_unavailable = 503;
+constexpr std::uint16_t status_gateway_timeout = 504;
+
+std::uint16_t status_of(core::answer_job const& answer)
+{
+    switch (answer.outcome)
+    {
+    case core::job_outcome::completed:
+    case core::job_outcome::failed:
+        return status_ok;
+    case core::job_outcome::rejected:
+        return answer.reason == "overloaded" ? status_too_many
+                                             : status_unavailable;
+    case core::job_outcome::abandoned:
+    case core::job_outcome::not_owner:
+        return status_gateway_timeout;
+    }
+    return status_gateway_timeout;
+}
+
+io::http_header retry_after(core::duration wait)
+{
+    auto const seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
+    return {"retry-after", std::to_string(std::max<std::int64_t>(seconds, 1))};
+}
+
+/// Returns the job's id at the end of a path, after the route's prefix.
+std::optional<core::client_job_id> job_id_of(std::string_view path,
+                                             core::job_route const& route)
+{
+    return adapter::parse_job_id(path.substr(route.path_prefix.size()));
+}
+
+/// Returns the time that a caller says it waits.
+std::optional<core::duration> caller_wait(io::http_request const& request)
+{
+    auto const text = request.header(adapter::names::caller_wait_header);
+    auto const wait_ms = text ? io::parse_number(*text) : std::nullopt;
+    if (!wait_ms)
+    {
+        return std::nullopt;
+    }
+    constexpr std::uint64_t longest_ms = 86'400'000;
+    return std::chrono::milliseconds{std::min(*wait_ms, longest_ms)};
+}
+
+} // namespace
+
+void entry_instance::add_caller_routes()
+{
+    callers_.route(
+        "POST", "/",
+        [this](io::http_request const& request, io::http_reply const& reply)
+        {
+            submit(request, reply);
+        });
+    auto const ask =
+        [this](io::http_request const& request, io::http_reply const& reply)
+    {
+        query(request, reply);
+    };
+    callers_.route("GET", "/", ask);
+    callers_.route("DELETE", "/", ask);
+    callers_.set_error_body(
+        [](std::uint16_t status)
+        {
+            return R"({"error":"status )" + std::to_string(status) + "\"}";
+        });
+    readiness_.route(
+        "GET", std::string{adapter::names::readiness_path},
+        [this](io::http_request const&, io::http_reply const& reply)
+        {
+            reply.send({is_ready() ? status_ok : status_unavailable});
+        });
+    metrics_server_.route(
+        "GET", "/metrics",
+        [this](io::http_request const&, io::http_reply const& reply)
+        {
+            entry_figures figures;
+            figures.ready = is_ready();
+            figures.owner = scheduler_.owns();
+            figures.configuration_version = routes_.version;
+            figures.caller_connections = callers_.connection_count();
+            figures.peer_connections = peers_.connected_peers();
+            figures.open_jobs = gateway_.open_jobs();
+            figures.store_calls = store_.calls();
+            figures.log_lines_dropped = log_.dropped();
+            reply.send({status_ok,
+                        metrics_.render(scheduler_.load(loop_.now()), figures),
+                        "text/plain; version=0.0.4",
+                        {}});
+        });
+}
+
+core::job_route const*
+entry_instance::find_route(io::http_request const& request) const
+{
+    return routes_.find(request.header("host").value_or(""), request.path);
+}
+
+void entry_instance::refuse(io::http_reply const& reply, std::uint16_t status,
+                            std::string_view reason, std::string_view detail)
+{
+    metrics_.refused(status);
+    log_.write(log_line{log_level::info, "request_refused"}
+                   .number("status", status)
+                   .text("reason", reason)
+                   .text("detail", detail)
+                   .number("configuration_version",
+                           static_cast<std::int64_t>(routes_.version)));
+    io::http_response response{status,
+                               R"({"error":")" + std::string{reason} + "\"}"};
+    if (status == status_unavailable)
+    {
+        response.headers.push_back(retry_after(std::chrono::seconds{1}));
+    }
+    reply.send(std::move(response));
+}
+
+void entry_instance::submit(io::http_request const& request,
+                            io::http_reply const& reply)
+{
+    if (routes_.version == 0)
+    {
+        refuse(reply, status_unavailable, "no_configuration", request.path);
+        return;
+    }
+    auto const* const route = find_route(request);
+    if (route == nullptr)
+    {
+        refuse(reply, status_not_found, "unknown_queue", request.path);
+        return;
+    }
+    auto const id = job_id_of(request.path, *route);
+    if (!id)
+    {
+        refuse(reply, status_bad_request, "malformed_id", request.path);
+        return;
+    }
+    auto decoding = adapter::decode_job(*id, request.body);
+    if (auto const* const fault =
+            std::get_if<adapter::malformed_job>(&decoding))
+    {
+        refuse(reply, status_bad_request, "malformed_job", fault->field);
+        return;
+    }
+    auto& submitted = std::get<adapter::submitted_job>(decoding);
+    if (!submitted.kept_in_memory || !submitted.unsupported.empty())
+    {
+        refuse(reply, status_unavailable, "unsupported_job",
+               submitted.kept_in_memory ? submitted.unsupported
+                                        : "stored jobs");
+        return;
+    }
+    core::apply_route(*route, caller_wait(request), submitted.job);
+    core::request_id const handle{++last_request_};
+    requests_.emplace(handle, reply);
+    reply.on_caller_gone(
+        [this, handle]
+        {
+            requests_.erase(handle);
+            std::vector<core::gateway_action> out;
+            gateway_.caller_gone(handle, out);
+            apply(out);
+        });
+    std::vector<core::gateway_action> out;
+    gateway_.submit(handle, std::move(submitted.job), owners(), loop_.now(),
+                    out);
+    apply(out);
+}
+
+// Jobs are kept only until their caller has its answer, so that no other
+// request finds one.
+void entry_instance::query(io::http_request const& request,
+                           io::http_reply const& reply) const
+{
+    if (routes_.version == 0)
+    {
+        reply.send({status_unavailable});
+        return;
+    }
+    auto const* const route = find_route(request);
+    if (route == nullptr)
+    {
+        reply.send({status_not_found});
+        return;
+    }
+    bool const asks_for_queue =
+        request.method == "GET" &&
+        request.path.size() == route->path_prefix.size();
+    if (asks_for_queue)
+    {
+        reply.send({status_ok, R"({"pending":0})"});
+        return;
+    }
+    reply.send(
+        {job_id_of(request.path, *route) ? status_gone : status_bad_request});
+}
+
+void entry_instance::apply(core::answer_job const& action)
+{
+    auto const status = status_of(action);
+    metrics_.answered(action, status);
+    log_.write(to_log_line(action, status));
+    auto const found = requests_.find(action.request);
+    if (found == requests_.end())
+    {
+        return;
+    }
+    io::http_response response{status};
+    if (status == status_ok)
+    {
+        response.body = adapter::format_job_state(action.outcome);
+    }
+    else
+    {
+        response.body = R"({"error":")" + std::string{action.reason} + "\"}";
+        if (action.outcome == core::job_outcome::rejected)
+        {
+            response.headers.push_back(retry_after(action.retry_after));
+        }
+    }
+    auto const reply = found->second;
+    requests_.erase(found);
+    reply.send(std::move(response));
+}
+
+} // namespace goldcrestgate::app
--- /dev/null
+++ b/src/app/entry/entry_instance.cpp
@@ -0,0 +1,572 @@
+#include "goldcrestgate/app/entry/entry_instance.hpp"
+
+#include "platform/configuration_codec.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace goldcrestgate::app
+{
+
+namespace
+{
+
+/// A silence of 450 ms ends an ownership; four heartbeats fit into it.
+constexpr core::duration heartbeat_interval = std::chrono::milliseconds{100};
+
+/// Step in which ownership and jobs without an owner are judged.
+constexpr core::duration idle_tick = std::chrono::milliseconds{50};
+
+/// The store's wait for a new configuration, which ends a connection that has
+/// gone silent well within the 2 s for a configuration.
+constexpr topic_pace configuration_pace{std::chrono::milliseconds{800}, {}};
+
+/// Executors report themselves every 1.5 s; a draining one may get work for
+/// 2 s more. Instances that own none keep the list for a succession.
+constexpr topic_pace owner_pace{{}, std::chrono::milliseconds{300}};
+constexpr topic_pace standby_pace{{}, std::chrono::milliseconds{1500}};
+
+/// New instances connect by themselves; the list serves those that cannot.
+constexpr topic_pace instances_pace{{}, std::chrono::seconds{10}};
+
+/// Pause between attempts to publish the own address.
+constexpr core::duration announce_retry = std::chrono::milliseconds{500};
+
+/// Readiness checks come every second, and two misses take an instance out of
+/// rotation; until then callers may still connect.
+constexpr core::duration rotation_time = std::chrono::milliseconds{2300};
+
+/// Part of the grace period that is left for the process to end.
+constexpr core::duration exit_margin = std::chrono::milliseconds{400};
+
+constexpr core::duration peer_connect_timeout = std::chrono::milliseconds{400};
+constexpr core::duration longest_peer_pause = std::chrono::milliseconds{800};
+
+constexpr double weight_per_core = 1000.0;
+
+std::map<std::string, core::domain_id, std::less<>>
+number_domains(std::string_view names)
+{
+    std::map<std::string, core::domain_id, std::less<>> domains;
+    while (!names.empty())
+    {
+        auto const comma = std::min(names.find(','), names.size());
+        domains.emplace(names.substr(0, comma), core::domain_id{});
+        names.remove_prefix(std::min(comma + 1, names.size()));
+    }
+    std::uint16_t number = 0;
+    for (auto& [name, id] : domains)
+    {
+        id = core::domain_id{++number};
+    }
+    return domains;
+}
+
+core::instance_key
+make_key(entry_settings const& settings,
+         std::map<std::string, core::domain_id, std::less<>> const& domains)
+{
+    std::random_device device;
+    std::uint64_t const incarnation =
+        (std::uint64_t{device()} << 32U) | device();
+    auto const domain = domains.find(settings.failure_domain);
+    return {domain == domains.end() ? core::domain_id{} : domain->second,
+            instance_of(settings.peers_address).value_or(core::instance_id{}),
+            core::incarnation{incarnation}};
+}
+
+io::socket_address parse_checked(std::string const& address)
+{
+    return io::socket_address::parse(address).value();
+}
+
+std::uint64_t unix_milliseconds()
+{
+    auto const since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+} // namespace
+
+std::optional<core::instance_id> instance_of(std::string_view peer_address)
+{
+    auto const parsed = io::socket_address::parse(peer_address);
+    if (!parsed || parsed.value().data()->sa_family != AF_INET)
+    {
+        return std::nullopt;
+    }
+    auto const* const address =
+        reinterpret_cast<sockaddr_in const*>(parsed.value().data());
+    return core::instance_id{ntohl(address->sin_addr.s_addr)};
+}
+
+entry_instance::entry_instance(io::event_loop& loop,
+                               entry_settings const& settings, logger& log)
+    : loop_(loop)
+    , settings_(settings)
+    , log_(log)
+    , domains_(number_domains(settings.failure_domains))
+    , self_(make_key(settings, domains_))
+    , ownership_(
+          self_,
+          static_cast<std::uint32_t>(settings.cpu_share * weight_per_core),
+          loop.now())
+    , gateway_(self_.domain)
+    , scheduler_({settings.longest_lease, settings.stop_time,
+                  settings.resubmission_delay})
+    , callers_(loop, {.max_body_bytes = settings.body_limit_bytes,
+                      .request_timeout = std::chrono::seconds{15},
+                      .max_connections = settings.caller_connection_limit})
+    , readiness_(loop, {})
+    , metrics_server_(loop, {})
+    , peers_(
+          loop, core::hello{self_, settings.peers_address},
+          {.connect_timeout = peer_connect_timeout,
+           .longest_pause = longest_peer_pause},
+          [this](core::event event)
+          {
+              on_peer_event(std::move(event));
+          },
+          [this](core::error const& fault)
+          {
+              log_.write(
+                  log_line{log_level::warning, "peer_fault"}.failure(fault));
+          })
+    , orders_(loop, {[this](core::order_answer const& answer)
+                     {
+                         metrics_.order_answered("start", answer.outcome);
+                         std::vector<core::scheduler_action> out;
+                         scheduler_.start_answered(answer, loop_.now(), out);
+                         apply(out);
+                     },
+                     [this](core::order_answer const& answer)
+                     {
+                         metrics_.order_answered("stop", answer.outcome);
+                         std::vector<core::scheduler_action> out;
+                         scheduler_.stop_answered(answer, loop_.now(), out);
+                         apply(out);
+                     },
+                     [this](core::hold_answer const& answer)
+                     {
+                         metrics_.order_answered("hold", answer.outcome);
+                         std::vector<core::scheduler_action> out;
+                         scheduler_.hold_answered(answer, loop_.now(), out);
+                         apply(out);
+                     }})
+    , directory_(
+          self_.domain,
+          [this](std::string_view name) -> std::optional<core::domain_id>
+          {
+              auto const found = domains_.find(name);
+              return found == domains_.end() ? std::nullopt
+                                             : std::optional{found->second};
+          },
+          {[this](core::executor_id id,
+                  core::executor_description const& description)
+           {
+               orders_.set(id, description);
+               std::vector<core::scheduler_action> out;
+               scheduler_.list(id, description, loop_.now(), out);
+               apply(out);
+               log_.write(log_line{log_level::info, "executor_listed"}
+                              .text("executor", description.name)
+                              .text("address", description.address)
+                              .flag("draining", description.draining));
+           },
+           [this](core::executor_id id)
+           {
+               log_.write(log_line{log_level::info, "executor_unlisted"}.text(
+                   "executor", orders_.name(id)));
+               scheduler_.unlist(id, loop_.now());
+           },
+           [this](std::string_view name)
+           {
+               log_.write(
+                   log_line{log_level::warning, "executor_entry_refused"}.text(
+                       "executor", name));
+           }})
+    , store_(loop, parse_checked(settings.store_address))
+    , configuration_watch_(loop, store_, adapter::topic::configuration,
+                           configuration_pace,
+                           sinks_of("configuration",
+                                    [this](adapter::topic_page const& page)
+                                    {
+                                        on_configuration(page);
+                                    }))
+    , executors_watch_(loop, store_, adapter::topic::executors, standby_pace,
+                       executor_sinks())
+    , instances_watch_(loop, store_, adapter::topic::instances, instances_pace,
+                       sinks_of("instances",
+                                [this](adapter::topic_page const& page)
+                                {
+                                    for (auto const& record : page.records)
+                                    {
+                                        connect(record.value.value_or(""));
+                                    }
+                                }))
+    , tick_(loop,
+            [this]
+            {
+                tick();
+            })
+    , heartbeat_(loop,
+                 [this]
+                 {
+                     heartbeat_.start_after(heartbeat_interval);
+                     send_heartbeats();
+                 })
+    , announce_(loop,
+                [this]
+                {
+                    announce();
+                })
+{
+}
+
+entry_instance::~entry_instance() = default;
+
+core::result<void> entry_instance::run()
+{
+    add_caller_routes();
+    BOOST_LEAF_CHECK(callers_.listen(parse_checked(settings_.callers_address)));
+    BOOST_LEAF_CHECK(
+        readiness_.listen(parse_checked(settings_.readiness_address)));
+    BOOST_LEAF_CHECK(
+        metrics_server_.listen(parse_checked(settings_.metrics_address)));
+    BOOST_LEAF_CHECK(peers_.listen(parse_checked(settings_.peers_address)));
+    log_.write(log_line{log_level::info, "started"}
+                   .text("instance", settings_.name)
+                   .text("failure_domain", settings_.failure_domain)
+                   .text("peers_address", settings_.peers_address));
+    watch_platform();
+    tick();
+    send_heartbeats();
+    heartbeat_.start_after(heartbeat_interval);
+    loop_.run();
+    return {};
+}
+
+// --- the platform ---
+
+topic_sinks entry_instance::sinks_of(
+    std::string_view name,
+    std::function<void(adapter::topic_page const&)> changed)
+{
+    return {changed, changed,
+            [this, name](core::error const& failure)
+            {
+                log_.write(log_line{log_level::warning, "store_lost"}
+                               .text("topic", name)
+                               .failure(failure));
+            },
+            [this, name]
+            {
+                store_reachable_since_ = loop_.now();
+                log_.write(log_line{log_level::info, "store_regained"}.text(
+                    "topic", name));
+            }};
+}
+
+topic_sinks entry_instance::executor_sinks()
+{
+    auto sinks = sinks_of("executors",
+                          [this](adapter::topic_page const& page)
+                          {
+                              directory_.update(page, loop_.now());
+                          });
+    sinks.newest = [this](adapter::topic_page const& page)
+    {
+        directory_.replace(page, loop_.now());
+    };
+    return sinks;
+}
+
+void entry_instance::watch_platform()
+{
+    configuration_watch_.start();
+    executors_watch_.start();
+    announce();
+    std::string_view seeds = settings_.seed_addresses;
+    while (!seeds.empty())
+    {
+        auto const comma = std::min(seeds.find(','), seeds.size());
+        connect(seeds.substr(0, comma));
+        seeds.remove_prefix(std::min(comma + 1, seeds.size()));
+    }
+}
+
+// The list is read after the own address is in it, so that of two instances
+// that start together at least one finds the other.
+void entry_instance::announce()
+{
+    constexpr core::duration timeout = std::chrono::milliseconds{900};
+    store_.append(adapter::topic::instances, settings_.peers_address,
+                  settings_.peers_address, timeout,
+                  [this](std::optional<core::error> const& failure)
+                  {
+                      if (!failure)
+                      {
+                          instances_watch_.start();
+                          return;
+                      }
+                      log_.write(log_line{log_level::warning, "store_lost"}
+                                     .text("topic", "instances")
+                                     .failure(*failure));
+                      announce_.start_after(announce_retry);
+                  });
+}
+
+void entry_instance::on_configuration(adapter::topic_page const& page)
+{
+    for (auto const& record : page.records)
+    {
+        if (record.key == adapter::configuration_key && record.value)
+        {
+            use_configuration(*record.value, true);
+        }
+    }
+}
+
+void entry_instance::use_configuration(std::string const& document,
+                                       bool pass_on)
+{
+    auto table = adapter::decode_configuration(document);
+    if (!table)
+    {
+        log_.write(log_line{log_level::error, "configuration_refused"}.number(
+            "bytes", static_cast<std::int64_t>(document.size())));
+        return;
+    }
+    if (table->version <= routes_.version)
+    {
+        return;
+    }
+    log_.write(
+        log_line{log_level::info, "configuration_in_force"}
+            .number("version", static_cast<std::int64_t>(table->version))
+            .number("earlier", static_cast<std::int64_t>(routes_.version))
+            .number("routes", static_cast<std::int64_t>(table->routes.size()))
+            .text("source", pass_on ? "store" : "peer"));
+    routes_ = std::move(*table);
+    configuration_ = document;
+    if (!pass_on)
+    {
+        return;
+    }
+    for (auto const& [id, key] : connected_)
+    {
+        send(id, core::published_configuration{routes_.version, document});
+    }
+}
+
+// --- the core's actions ---
+
+void entry_instance::apply(std::vector<core::gateway_action> const& actions)
+{
+    for (auto const& action : actions)
+    {
+        std::visit(
+            [this](auto const& specific)
+            {
+                apply(specific);
+            },
+            action);
+    }
+}
+
+void entry_instance::apply(std::vector<core::scheduler_action> const& actions)
+{
+    for (auto const& action : actions)
+    {
+        std::visit(
+            [this](auto const& specific)
+            {
+                if constexpr (requires { orders_.send(specific); })
+                {
+                    orders_.send(specific);
+                }
+                else
+                {
+                    apply(specific);
+                }
+            },
+            action);
+    }
+}
+
+void entry_instance::apply(core::send_offer const& action)
+{
+    log_.write(to_log_line(action));
+    if (action.owner != self_.instance)
+    {
+        send(action.owner, action.offer);
+        return;
+    }
+    std::vector<core::scheduler_action> out;
+    scheduler_.offer(self_.instance, action.offer, loop_.now(), out);
+    apply(out);
+}
+
+void entry_instance::apply(core::send_withdrawal const& action)
+{
+    if (action.owner != self_.instance)
+    {
+        send(action.owner, action.withdrawal);
+        return;
+    }
+    std::vector<core::scheduler_action> out;
+    scheduler_.withdraw(self_.instance, action.withdrawal.job, loop_.now(),
+                        out);
+    apply(out);
+}
+
+void entry_instance::apply(core::report_verdict const& action)
+{
+    if (action.origin != self_.instance)
+    {
+        send(action.origin, action.verdict);
+        return;
+    }
+    std::vector<core::gateway_action> out;
+    gateway_.verdict(self_.instance, action.verdict, owners(), loop_.now(),
+                     out);
+    apply(out);
+}
+
+void entry_instance::apply(core::scheduling_note const& action)
+{
+    metrics_.decided(action);
+    log_.write(to_log_line(action,
+                           [this](core::executor_id id)
+                           {
+                               return orders_.name(id);
+                           }));
+}
+
+// --- time ---
+
+std::vector<core::owner_view> entry_instance::owners() const
+{
+    auto views = ownership_.owners(loop_.now());
+    for (auto& view : views)
+    {
+        if (view.instance == self_.instance)
+        {
+            auto const load = scheduler_.load(loop_.now());
+            view.free_millicores = load.free_millicores;
+            view.expected_wait = load.expected_wait;
+        }
+    }
+    return views;
+}
+
+bool entry_instance::is_ready() const
+{
+    return !stopping_ && routes_.version != 0 &&
+           !ownership_.owners(loop_.now()).empty();
+}
+
+void entry_instance::tick()
+{
+    auto const now = loop_.now();
+    for (auto const silent : ownership_.take_silent(now))
+    {
+        log_.write(log_line{log_level::warning, "peer_silent"}.text(
+            "peer", format_instance(silent)));
+        scheduler_.origin_lost(silent, now);
+        // A connection that is silent for good is made anew.
+        if (connected_.erase(silent) > 0)
+        {
+            peers_.apply(core::disconnect_peer{silent});
+            peers_.apply(core::connect_peer{{}, silent, known_peers_[silent]});
+        }
+    }
+    directory_.expire(now, store_reachable_since_);
+    decide_ownership();
+    std::vector<core::scheduler_action> orders;
+    scheduler_.tick(now, orders);
+    apply(orders);
+    std::vector<core::gateway_action> out;
+    gateway_.tick(owners(), now, out);
+    apply(out);
+    if (is_ready() != ready_logged_)
+    {
+        ready_logged_ = !ready_logged_;
+        log_.write(log_line{log_level::info, "readiness"}.flag("ready",
+                                                               ready_logged_));
+    }
+    if (stopping_)
+    {
+        finish_stop();
+    }
+    tick_.start_at(std::min(scheduler_.next_tick(now), now + idle_tick));
+}
+
+void entry_instance::decide_ownership()
+{
+    auto const now = loop_.now();
+    if (scheduler_.fenced())
+    {
+        ownership_.fenced(scheduler_.load(now).claimed == 0, now);
+    }
+    std::vector<core::scheduler_action> out;
+    auto const decision = ownership_.decide(now, unix_milliseconds());
+    if (auto const* const claim = std::get_if<core::claim_ownership>(&decision))
+    {
+        scheduler_.take_over(claim->token, now, out);
+        executors_watch_.set_pace(owner_pace);
+        send_heartbeats();
+    }
+    else if (std::holds_alternative<core::give_up_ownership>(decision))
+    {
+        scheduler_.abdicate(now, out);
+        executors_watch_.set_pace(standby_pace);
+        send_heartbeats();
+    }
+    apply(out);
+}
+
+void entry_instance::stop()
+{
+    if (stopping_)
+    {
+        log_.write(log_line{log_level::warning, "stop_forced"}.number(
+            "open_jobs", static_cast<std::int64_t>(gateway_.open_jobs())));
+        loop_.stop();
+        return;
+    }
+    stopping_ = true;
+    stopping_since_ = loop_.now();
+    log_.write(log_line{log_level::info, "stopping"}
+                   .number("open_jobs",
+                           static_cast<std::int64_t>(gateway_.open_jobs()))
+                   .flag("owner", scheduler_.owns()));
+    ownership_.leave();
+    send_heartbeats();
+}
+
+void entry_instance::finish_stop()
+{
+    auto const since = loop_.now() - stopping_since_;
+    if (since >= rotation_time && !callers_closed_)
+    {
+        callers_closed_ = true;
+        callers_.close_gracefully();
+    }
+    bool const idle = gateway_.open_jobs() == 0 &&
+                      scheduler_.load(loop_.now()).jobs == 0 &&
+                      callers_.connection_count() == 0;
+    bool const late = since >= settings_.stop_grace - exit_margin;
+    if ((callers_closed_ && idle) || late)
+    {
+        log_.write(log_line{log_level::info, "stopped"}
+                       .flag("graceful", idle)
+                       .number("open_jobs", static_cast<std::int64_t>(
+                                                gateway_.open_jobs())));
+        loop_.stop();
+    }
+}
+
+} // namespace goldcrestgate::app
--- /dev/null
+++ b/src/app/entry/entry_log.cpp
@@ -0,0 +1,109 @@
+#include "goldcrestgate/app/entry/entry_log.hpp"
+
+#include "platform/job_codec.hpp"
+
+namespace goldcrestgate::app
+{
+
+namespace
+{
+
+std::int64_t to_ms(core::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+log_level level_of(std::string_view event)
+{
+    bool const unusual = event == "start_refused" || event == "run_stalled" ||
+                         event == "executor_silent" ||
+                         event == "executor_lost" ||
+                         event == "ownership_given_up";
+    return unusual ? log_level::warning : log_level::info;
+}
+
+} // namespace
+
+std::string format_instance(core::instance_id id)
+{
+    constexpr unsigned byte_bits = 8;
+    constexpr std::uint32_t byte_mask = 0xff;
+    std::string text;
+    for (unsigned i = 4; i > 0; --i)
+    {
+        text +=
+            std::to_string((id.value() >> ((i - 1) * byte_bits)) & byte_mask);
+        text += i > 1 ? "." : "";
+    }
+    return text;
+}
+
+log_line to_log_line(core::scheduling_note const& note,
+                     executor_names const& names)
+{
+    log_line line{level_of(note.event), note.event};
+    if (note.job != core::client_job_id{})
+    {
+        line.text("job", adapter::format_job_id(note.job));
+    }
+    if (note.run)
+    {
+        line.number("group", note.run->task.group)
+            .number("task", note.run->task.index)
+            .number("execution", note.run->execution);
+    }
+    if (note.executor)
+    {
+        line.text("executor", names(*note.executor));
+    }
+    if (!note.reason.empty())
+    {
+        line.text("reason", note.reason);
+    }
+    return line.number("slack_ms", to_ms(note.slack))
+        .number("run_ms", to_ms(note.run_time))
+        .number("count", static_cast<std::int64_t>(note.count))
+        .number("waiting", static_cast<std::int64_t>(note.waiting));
+}
+
+log_line to_log_line(core::send_offer const& offer)
+{
+    auto const& job = offer.offer.job;
+    std::int64_t tasks = 0;
+    for (auto const& group : job.groups)
+    {
+        tasks += group.task_count;
+    }
+    log_line line{log_level::info, "job_offered"};
+    line.text("job", adapter::format_job_id(job.id))
+        .text("owner", format_instance(offer.owner))
+        .text("service", job.service)
+        .number("tasks", tasks)
+        .number("cpu_millicores",
+                job.groups.empty()
+                    ? 0
+                    : job.groups.front().each_task.cpu_millicores)
+        .number("objective_ms", to_ms(job.objective))
+        .number("time_limit_ms", to_ms(job.time_limit))
+        .number("elapsed_ms", to_ms(offer.offer.elapsed))
+        .flag("resumed", offer.offer.resumed);
+    return line;
+}
+
+log_line to_log_line(core::answer_job const& answer, std::uint16_t status)
+{
+    log_line line{log_level::info, "job_answered"};
+    line.text("job", adapter::format_job_id(answer.job))
+        .number("status", status)
+        .text("outcome", core::outcome_name(answer.outcome))
+        .text("reason", answer.reason)
+        .number("elapsed_ms", to_ms(answer.elapsed))
+        .number("retry_after_ms", to_ms(answer.retry_after));
+    if (answer.owner)
+    {
+        line.text("owner", format_instance(*answer.owner));
+    }
+    return line;
+}
+
+} // namespace goldcrestgate::app
--- /dev/null
+++ b/src/app/entry/entry_metrics.cpp
@@ -0,0 +1,166 @@
+#include "goldcrestgate/app/entry/entry_metrics.hpp"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <map>
+#include <utility>
+
+namespace goldcrestgate::app
+{
+
+namespace
+{
+
+namespace acc = boost::accumulators;
+
+/// Upper bounds of the buckets in seconds; they enclose the objectives of
+/// requests of 60 ms to 1 s of work.
+constexpr std::array bucket_bounds = {0.025, 0.05, 0.1, 0.16, 0.25, 0.4,
+                                      0.6,   1.0,  1.5, 3.0,  10.0};
+
+/// @brief A histogram of times in seconds.
+class time_histogram
+{
+public:
+    void add(core::duration time)
+    {
+        double const seconds = std::chrono::duration<double>(time).count();
+        totals_(seconds);
+        for (std::size_t i = 0; i < bucket_bounds.size(); ++i)
+        {
+            if (seconds <= bucket_bounds[i])
+            {
+                ++buckets_[i];
+            }
+        }
+    }
+
+    void render(std::string const& name, std::string& out) const
+    {
+        auto const count = std::to_string(acc::count(totals_));
+        out += "# TYPE " + name + " histogram\n";
+        for (std::size_t i = 0; i < bucket_bounds.size(); ++i)
+        {
+            out += name + "_bucket{le=\"" + std::to_string(bucket_bounds[i]) +
+                   "\"} " + std::to_string(buckets_[i]) + '\n';
+        }
+        out += name + "_bucket{le=\"+Inf\"} " + count + '\n';
+        out += name + "_sum " + std::to_string(acc::sum(totals_)) + '\n';
+        out += name + "_count " + count + '\n';
+    }
+
+private:
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>
+        totals_;
+    std::array<std::uint64_t, bucket_bounds.size()> buckets_{};
+};
+
+using two_labels = std::pair<std::string_view, std::string_view>;
+
+void add_value(std::string& out, std::string_view type, std::string_view name,
+               std::uint64_t value)
+{
+    std::string const full = "goldcrestgate_" + std::string{name};
+    out += "# TYPE " + full + ' ' + std::string{type} + '\n';
+    out += full + ' ' + std::to_string(value) + '\n';
+}
+
+void add_counts(std::string& out, std::string_view name, two_labels labels,
+                std::map<two_labels, std::uint64_t> const& counts)
+{
+    std::string const full = "goldcrestgate_" + std::string{name};
+    out += "# TYPE " + full + " counter\n";
+    for (auto const& [values, count] : counts)
+    {
+        out += full + '{' + std::string{labels.first} + "=\"" +
+               std::string{values.first} + "\"," + std::string{labels.second} +
+               "=\"" + std::string{values.second} + "\"} " +
+               std::to_string(count) + '\n';
+    }
+}
+
+} // namespace
+
+struct entry_metrics::state
+{
+    std::map<two_labels, std::uint64_t> answers;
+    std::map<two_labels, std::uint64_t> decisions;
+    std::map<two_labels, std::uint64_t> orders;
+    std::map<std::uint16_t, std::uint64_t> statuses;
+    time_histogram response_time;
+    time_histogram rejection_time;
+};
+
+entry_metrics::entry_metrics()
+    : state_(std::make_unique<state>())
+{
+}
+
+entry_metrics::~entry_metrics() = default;
+
+void entry_metrics::answered(core::answer_job const& answer,
+                             std::uint16_t status)
+{
+    ++state_->answers[{core::outcome_name(answer.outcome), answer.reason}];
+    ++state_->statuses[status];
+    bool const is_rejection = answer.outcome == core::job_outcome::rejected;
+    (is_rejection ? state_->rejection_time : state_->response_time)
+        .add(answer.elapsed);
+}
+
+void entry_metrics::refused(std::uint16_t status)
+{
+    ++state_->statuses[status];
+}
+
+void entry_metrics::decided(core::scheduling_note const& note)
+{
+    ++state_->decisions[{note.event, note.reason}];
+}
+
+void entry_metrics::order_answered(std::string_view order,
+                                   core::order_outcome outcome)
+{
+    ++state_->orders[{order, core::outcome_name(outcome)}];
+}
+
+std::string entry_metrics::render(core::scheduler_load const& load,
+                                  entry_figures const& figures) const
+{
+    std::string out;
+    add_value(out, "gauge", "ready", figures.ready ? 1 : 0);
+    add_value(out, "gauge", "owner", figures.owner ? 1 : 0);
+    add_value(out, "gauge", "configuration_version",
+              figures.configuration_version);
+    add_value(out, "gauge", "caller_connections", figures.caller_connections);
+    add_value(out, "gauge", "peer_connections", figures.peer_connections);
+    add_value(out, "gauge", "open_jobs", figures.open_jobs);
+    add_value(out, "counter", "store_calls_total", figures.store_calls);
+    add_value(out, "counter", "log_lines_dropped_total",
+              figures.log_lines_dropped);
+    add_value(out, "gauge", "owned_jobs", load.jobs);
+    add_value(out, "gauge", "waiting_tasks", load.waiting_tasks);
+    add_value(out, "gauge", "active_runs", load.active_runs);
+    add_value(out, "gauge", "executors_listed", load.executors);
+    add_value(out, "gauge", "executors_claimed", load.claimed);
+    add_value(out, "gauge", "free_millicores", load.free_millicores);
+    add_counts(out, "answers_total", {"outcome", "reason"}, state_->answers);
+    add_counts(out, "decisions_total", {"event", "reason"}, state_->decisions);
+    add_counts(out, "orders_total", {"order", "outcome"}, state_->orders);
+    out += "# TYPE goldcrestgate_responses_total counter\n";
+    for (auto const& [status, count] : state_->statuses)
+    {
+        out += "goldcrestgate_responses_total{status=\"" +
+               std::to_string(status) + "\"} " + std::to_string(count) + '\n';
+    }
+    state_->response_time.render("goldcrestgate_response_seconds", out);
+    state_->rejection_time.render("goldcrestgate_rejection_seconds", out);
+    return out;
+}
+
+} // namespace goldcrestgate::app
--- /dev/null
+++ b/src/app/entry/entry_peers.cpp
@@ -0,0 +1,167 @@
+#include "goldcrestgate/app/entry/entry_instance.hpp"
+
+#include <utility>
+
+namespace goldcrestgate::app
+{
+
+namespace
+{
+
+template <typename... Functions>
+struct overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+
+template <typename... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+} // namespace
+
+void entry_instance::connect(std::string_view peer_address)
+{
+    auto const id = instance_of(peer_address);
+    if (!id || *id == self_.instance)
+    {
+        return;
+    }
+    auto& known = known_peers_[*id];
+    if (known == peer_address)
+    {
+        return;
+    }
+    known = peer_address;
+    peers_.apply(core::connect_peer{{}, *id, known});
+}
+
+void entry_instance::send(core::instance_id peer, core::peer_message message)
+{
+    peers_.apply(core::send_to_peer{peer, std::move(message)});
+}
+
+void entry_instance::send_heartbeats()
+{
+    auto const load = scheduler_.load(loop_.now());
+    auto const beat =
+        ownership_.heartbeat(load.free_millicores, load.expected_wait);
+    for (auto const& [id, key] : connected_)
+    {
+        send(id, beat);
+    }
+}
+
+void entry_instance::on_peer_event(core::event&& event)
+{
+    std::visit(
+        overloaded{[this](core::peer_received& received)
+                   {
+                       on_message(received.from, received.message);
+                   },
+                   [this](core::peer_connected const& connected)
+                   {
+                       on_connected(connected.peer);
+                   },
+                   [this](core::peer_lost const& lost)
+                   {
+                       auto const known = connected_.extract(lost.peer);
+                       if (known.empty() && !lost.refused)
+                       {
+                           return;
+                       }
+                       if (!known.empty())
+                       {
+                           log_.write(
+                               log_line{log_level::warning, "peer_lost"}
+                                   .text("peer", format_instance(lost.peer))
+                                   .flag("refused", lost.refused));
+                       }
+                       ownership_.lost(lost.peer, lost.refused, loop_.now());
+                       scheduler_.origin_lost(lost.peer, loop_.now());
+                   },
+                   [](auto const&)
+                   {
+                       // The network delivers no other events.
+                   }},
+        event);
+}
+
+void entry_instance::on_connected(core::instance_key const& peer)
+{
+    auto const known = connected_.find(peer.instance);
+    if (known != connected_.end() && known->second != peer)
+    {
+        scheduler_.origin_lost(peer.instance, loop_.now());
+    }
+    connected_[peer.instance] = peer;
+    log_.write(log_line{log_level::info, "peer_connected"}.text(
+        "peer", format_instance(peer.instance)));
+    core::peer_addresses addresses;
+    for (auto const& [id, address] : known_peers_)
+    {
+        addresses.addresses.push_back(address);
+    }
+    addresses.addresses.push_back(settings_.peers_address);
+    send(peer.instance, std::move(addresses));
+    if (routes_.version != 0)
+    {
+        send(peer.instance,
+             core::published_configuration{routes_.version, configuration_});
+    }
+    auto const load = scheduler_.load(loop_.now());
+    send(peer.instance,
+         ownership_.heartbeat(load.free_millicores, load.expected_wait));
+}
+
+void entry_instance::on_message(core::instance_key const& from,
+                                core::peer_message& message)
+{
+    auto const now = loop_.now();
+    std::visit(
+        overloaded{
+            [&](core::owner_heartbeat const& heartbeat)
+            {
+                ownership_.heard(from, heartbeat, now);
+            },
+            [&](core::job_offer const& offer)
+            {
+                std::vector<core::scheduler_action> out;
+                scheduler_.offer(from.instance, offer, now, out);
+                apply(out);
+            },
+            [&](core::job_withdrawal const& withdrawal)
+            {
+                std::vector<core::scheduler_action> out;
+                scheduler_.withdraw(from.instance, withdrawal.job, now, out);
+                apply(out);
+            },
+            [&](core::job_verdict const& verdict)
+            {
+                std::vector<core::gateway_action> out;
+                gateway_.verdict(from.instance, verdict, owners(), now, out);
+                apply(out);
+            },
+            [&](core::peer_addresses const& addresses)
+            {
+                for (auto const& address : addresses.addresses)
+                {
+                    connect(address);
+                }
+            },
+            [&](core::published_configuration const& published)
+            {
+                if (published.version > routes_.version)
+                {
+                    use_configuration(published.document, false);
+                }
+            },
+            [&](auto const&)
+            {
+                log_.write(
+                    log_line{log_level::warning, "unexpected_message"}.text(
+                        "peer", format_instance(from.instance)));
+            }},
+        message);
+}
+
+} // namespace goldcrestgate::app
--- /dev/null
+++ b/src/app/entry/entry_settings.cpp
@@ -0,0 +1,108 @@
+#include "goldcrestgate/app/entry/entry_settings.hpp"
+
+#include <array>
+
+namespace goldcrestgate::app
+{
+
+namespace
+{
+
+using core::integer_rule;
+using core::number_rule;
+using core::text_form;
+using core::text_rule;
+using settings = entry_settings;
+
+constexpr std::int64_t second = 1000;
+constexpr std::int64_t minute = 60 * second;
+constexpr std::int64_t kibibyte = 1024;
+constexpr std::int64_t mebibyte = 1024 * kibibyte;
+constexpr std::string_view log_level_words = "debug|info|warning|error";
+constexpr text_rule required_address{text_form::address, {}, {}};
+
+// The one table of all keys: parsing, checks and documentation read it.
+constexpr std::array keys = std::to_array<detail::settings_key<settings>>({
+    {{"instance.name", text_rule{text_form::label, {}, {}},
+      "Name of the entry instance in logs and among instances."},
+     &settings::name},
+    {{"instance.failure_domain", text_rule{text_form::label, {}, {}},
+      "Failure domain in which the instance runs."},
+     &settings::failure_domain},
+    {{"instance.failure_domains", text_rule{text_form::labels, {}, {}},
+      "All failure domains."},
+     &settings::failure_domains},
+    {{"instance.cpu_share", number_rule{0.001, 1024, 1.0},
+      "Processor cores of the instance; the largest instance of a failure "
+      "domain owns its executors."},
+     &settings::cpu_share},
+    {{"listen.callers_address", required_address,
+      "Address of the HTTP listener for callers."},
+     &settings::callers_address},
+    {{"listen.readiness_address", required_address,
+      "Address of the HTTP listener for readiness checks."},
+     &settings::readiness_address},
+    {{"listen.peers_address", required_address,
+      "Address of the listener for other entry instances."},
+     &settings::peers_address},
+    {{"listen.metrics_address", required_address,
+      "Address of the HTTP listener for metrics."},
+     &settings::metrics_address},
+    {{"platform.store_address", required_address,
+      "Address of the platform's store."},
+     &settings::store_address},
+    {{"instance.seed_addresses", text_rule{text_form::addresses, "", {}},
+      "Peer addresses of instances to try at the start, beside those that the "
+      "store names."},
+     &settings::seed_addresses},
+    {{"executors.longest_lease_ms", integer_rule{100, minute, second},
+      "Longest lease that an executor grants; given by the platform."},
+     &settings::longest_lease},
+    {{"executors.stop_time_ms", integer_rule{1, 10 * second, 50},
+      "Time that an executor takes to stop a task; given by the platform."},
+     &settings::stop_time},
+    {{"callers.resubmission_delay_ms", integer_rule{100, minute, 1300},
+      "Time after which a caller that lost its connection submits its job "
+      "again; given by the platform."},
+     &settings::resubmission_delay},
+    {{"callers.body_limit_bytes",
+      integer_rule{kibibyte, 15 * mebibyte, 256 * kibibyte},
+      "Largest request body of a caller."},
+     &settings::body_limit_bytes},
+    {{"callers.connection_limit", integer_rule{16, 1'000'000, 2'000},
+      "Open connections of callers; further ones wait to be accepted."},
+     &settings::caller_connection_limit},
+    {{"callers.stop_grace_ms", integer_rule{100, 10 * minute, 6 * second},
+      "Time from the stop signal to the forced end; given by the platform."},
+     &settings::stop_grace},
+    {{"log.level", text_rule{text_form::choice, "info", log_level_words},
+      "Log lines below this level are not written."},
+     &settings::log_level},
+    {{"log.queue_limit_lines", integer_rule{64, 1'000'000, 2'048},
+      "Log lines that may wait for the log writer; further ones are dropped "
+      "and counted."},
+     &settings::log_queue_limit_lines},
+});
+
+} // namespace
+
+entry_settings_check check_entry_settings(std::string_view text,
+                                          std::string_view file)
+{
+    detail::settings_document_check<settings> check{keys, text, file};
+    check.run();
+    return std::move(check.outcome());
+}
+
+core::result<entry_settings_check> read_entry_settings(std::string const& file)
+{
+    BOOST_LEAF_AUTO(text, detail::read_settings_text(file));
+    return check_entry_settings(text, file);
+}
+
+std::string describe_entry_settings()
+{
+    return detail::describe_settings<settings>(keys);
+}
+
+} // namespace goldcrestgate::app
--- a/src/app/instance_settings.cpp
+++ b/src/app/instance_settings.cpp
@@ -1,15 +1,11 @@
 #include "goldcrestgate/app/instance_settings.hpp"
 
-#include "goldcrestgate/core/settings/schema.hpp"
+#include "goldcrestgate/app/detail/settings_table.hpp"
 
 #include <array>
 #include <chrono>
-#include <fstream>
-#include <iterator>
-#include <optional>
 #include <string>
 #include <utility>
-#include <variant>
 
 namespace goldcrestgate::app
 {
@@ -18,25 +14,11 @@
 {
 
 using core::integer_rule;
-using core::key_schema;
 using core::number_rule;
 using core::text_form;
 using core::text_rule;
-using nlohmann::json;
 
-/// The member that a key fills; times are milliseconds in the file.
-using target = std::variant<
-    core::instance_id instance_settings::*,
-    core::domain_id instance_settings::*, std::string instance_settings::*,
-    std::uint32_t instance_settings::*, std::uint64_t instance_settings::*,
-    core::duration instance_settings::*, double instance_settings::*,
-    log_level instance_settings::*>;
-
-struct instance_key
-{
-    key_schema schema;
-    target member;
-};
+using instance_key = detail::settings_key<instance_settings>;
 
 constexpr std::int64_t second = 1000;
 constexpr std::int64_t minute = 60 * second;
@@ -144,238 +126,42 @@
      &settings::log_queue_limit_lines},
 });
 
-log_level parse_log_level(std::string_view word)
-{
-    if (word == "debug")
-    {
-        return log_level::debug;
-    }
-    if (word == "warning")
-    {
-        return log_level::warning;
-    }
-    return word == "error" ? log_level::error : log_level::info;
-}
-
-/// Stores a checked value in the member that the key fills.
-struct value_setter
-{
-    instance_settings& settings;
-    json const& value;
-
-    template <typename Member>
-    void operator()(Member instance_settings::*member) const
-    {
-        settings.*member = value.get<Member>();
-    }
-
-    template <typename Tag, typename Rep>
-    void operator()(core::strong_id<Tag, Rep> instance_settings::*member) const
-    {
-        settings.*member = core::strong_id<Tag, Rep>{value.get<Rep>()};
-    }
-
-    void operator()(core::duration instance_settings::*member) const
-    {
-        settings.*member = std::chrono::milliseconds{value.get<std::int64_t>()};
-    }
-
-    void operator()(log_level instance_settings::*member) const
-    {
-        settings.*member = parse_log_level(value.get_ref<std::string const&>());
-    }
-};
-
-instance_key const* find_instance_key(std::string_view path)
-{
-    for (auto const& key : keys)
-    {
-        if (key.schema.key == path)
-        {
-            return &key;
-        }
-    }
-    return nullptr;
-}
-
-bool is_section(std::string_view path)
-{
-    for (auto const& key : keys)
-    {
-        auto const rest = key.schema.key.substr(
-            0, std::min(path.size() + 1, key.schema.key.size()));
-        if (rest == std::string{path} + '.')
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
-/// Walks a document and collects the settings and the faults.
-class document_check
-{
-public:
-    document_check(core::settings_document document, std::string_view file)
-        : document_(std::move(document))
-        , file_(file)
-        , outcome_{default_instance_settings(), document_.faults}
-    {
-    }
-
-    instance_settings_check run()
-    {
-        if (!document_.value.is_object())
-        {
-            refuse_root();
-            return std::move(outcome_);
-        }
-        check_object({}, document_.value);
-        check_missing();
-        check_order();
-        return std::move(outcome_);
-    }
-
-private:
-    void refuse_root()
-    {
-        if (outcome_.faults.empty())
-        {
-            add(core::error_code::settings_wrong_type, {}, document_.value,
-                "an object");
-        }
-    }
-
-    void check_object(std::string const& path, json const& object)
-    {
-        for (auto const& [name, value] : object.items())
-        {
-            check_member(core::join_path(path, name), value);
-        }
-    }
-
-    void check_member(std::string const& path, json const& value)
-    {
-        if (auto const* key = find_instance_key(path))
-        {
-            check_key(*key, value);
-        }
-        else if (!is_section(path))
-        {
-            add(core::error_code::settings_unknown_key, path, value,
-                "a key that --describe-settings lists");
-        }
-        else if (!value.is_object())
-        {
-            add(core::error_code::settings_wrong_type, path, value,
-                "an object");
-        }
-        else
-        {
-            check_object(path, value);
-        }
-    }
-
-    void check_key(instance_key const& key, json const& value)
-    {
-        seen_.emplace_back(key.schema.key);
-        if (auto const code = core::check_value(key.schema.rule, value))
-        {
-            add(*code, key.schema.key, value,
-                core::describe_range(key.schema.rule));
-            return;
-        }
-        std::visit(value_setter{outcome_.settings, value}, key.member);
-    }
-
-    void check_missing()
-    {
-        for (auto const& key : keys)
-        {
-            bool const required = core::fallback_of(key.schema.rule).is_null();
-            bool const seen = std::find(seen_.begin(), seen_.end(),
-                                        key.schema.key) != seen_.end();
-            if (required && !seen)
-            {
-                add(core::error_code::settings_missing_key, key.schema.key,
-                    nullptr, core::describe_range(key.schema.rule));
-            }
-        }
-    }
-
-    // Members that must not exceed one another, beyond their own ranges.
-    void check_order()
-    {
-        auto const& checked = outcome_.settings;
-        if (checked.default_wait > checked.maximum_wait)
-        {
-            add(core::error_code::settings_out_of_range,
-                "callers.default_wait_ms",
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    checked.default_wait)
-                    .count(),
-                "at most callers.maximum_wait_ms");
-        }
-    }
-
-    void add(core::error_code code, std::string_view path, json const& value,
-             std::string expected)
-    {
-        outcome_.faults.push_back(core::make_fault(code, document_, file_, path,
-                                                   value, std::move(expected)));
-    }
-
-    core::settings_document document_;
-    std::string_view file_;
-    instance_settings_check outcome_;
-    std::vector<std::string_view> seen_;
-};
-
 } // namespace
 
 instance_settings default_instance_settings()
 {
-    instance_settings defaults;
-    for (auto const& key : keys)
-    {
-        json const value = core::fallback_of(key.schema.rule);
-        if (!value.is_null())
-        {
-            std::visit(value_setter{defaults, value}, key.member);
-        }
-    }
-    return defaults;
+    return detail::default_settings<instance_settings>(keys);
 }
 
 instance_settings_check check_instance_settings(std::string_view text,
                                                 std::string_view file)
 {
-    return document_check(core::parse_document(text, file), file).run();
+    detail::settings_document_check<instance_settings> check{keys, text, file};
+    check.run();
+    // Members that must not exceed one another, beyond their own ranges.
+    auto const& checked = check.outcome().settings;
+    if (checked.default_wait > checked.maximum_wait)
+    {
+        check.add(core::error_code::settings_out_of_range,
+                  "callers.default_wait_ms",
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      checked.default_wait)
+                      .count(),
+                  "at most callers.maximum_wait_ms");
+    }
+    return std::move(check.outcome());
 }
 
 core::result<instance_settings_check>
 read_instance_settings(std::string const& file)
 {
-    std::ifstream input(file, std::ios::binary);
-    std::string const text{std::istreambuf_iterator<char>(input), {}};
-    if (!input)
-    {
-        return core::fail({core::error_code::file_unreadable,
-                           "read the settings file", file,
-                           "the file does not exist or cannot be read"});
-    }
+    BOOST_LEAF_AUTO(text, detail::read_settings_text(file));
     return check_instance_settings(text, file);
 }
 
 std::string describe_instance_settings()
 {
-    std::vector<key_schema> schema;
-    schema.reserve(keys.size());
-    for (auto const& key : keys)
-    {
-        schema.push_back(key.schema);
-    }
-    return core::describe_schema(schema);
+    return detail::describe_settings<instance_settings>(keys);
 }
 
 } // namespace goldcrestgate::app
--- a/src/core/detail/peer_control.cpp
+++ b/src/core/detail/peer_control.cpp
@@ -35,7 +35,12 @@
     std::visit(
         [&](auto& message)
         {
-            on(received.from, message, now);
+            // Instances that lease executors have messages of their own, which
+            // say nothing to this dispatcher.
+            if constexpr (requires { on(received.from, message, now); })
+            {
+                on(received.from, message, now);
+            }
         },
         received.message);
 }
--- /dev/null
+++ b/src/core/leasing/job_gateway.cpp
@@ -0,0 +1,271 @@
+#include "goldcrestgate/core/leasing/job_gateway.hpp"
+
+#include <algorithm>
+
+namespace goldcrestgate::core
+{
+
+namespace
+{
+
+/// A job goes to another failure domain when the wait there is shorter by more
+/// than this; the way there and back takes a few milliseconds.
+constexpr duration overflow_margin = std::chrono::milliseconds{10};
+
+/// Time that a job waits for an owner to be known: a successor takes over
+/// within half a second of a loss.
+constexpr duration owner_patience = std::chrono::milliseconds{600};
+
+/// Time after which a caller is asked to return when no owner is known.
+constexpr duration no_owner_retry = std::chrono::seconds{1};
+
+std::uint64_t widest_demand(leased_job const& job)
+{
+    std::uint64_t widest = 0;
+    for (auto const& group : job.groups)
+    {
+        widest =
+            std::max<std::uint64_t>(widest, std::uint64_t{group.task_count} *
+                                                group.each_task.cpu_millicores);
+    }
+    return widest;
+}
+
+bool contains(std::span<domain_id const> domains, domain_id domain)
+{
+    return std::ranges::find(domains, domain) != domains.end();
+}
+
+} // namespace
+
+void job_gateway::submit(request_id request, leased_job job,
+                         std::span<owner_view const> owners, time_point now,
+                         std::vector<gateway_action>& out)
+{
+    auto const id = job.id;
+    auto const [entry, is_new] = jobs_.try_emplace(id);
+    auto& open = entry->second;
+    open.requests.push_back(request);
+    if (!is_new)
+    {
+        return;
+    }
+    open.job = std::move(job);
+    open.arrived = now;
+    open.without_owner_since = now;
+    place(open, owners, now, out);
+}
+
+std::optional<owner_view>
+job_gateway::choose(open_job const& open,
+                    std::span<owner_view const> owners) const
+{
+    auto const demand = widest_demand(open.job);
+    owner_view const* best = nullptr;
+    for (auto const& owner : owners)
+    {
+        if (contains(open.declined, owner.domain))
+        {
+            continue;
+        }
+        if (best == nullptr)
+        {
+            best = &owner;
+            continue;
+        }
+        bool const is_own = owner.domain == own_domain_;
+        bool const best_is_own = best->domain == own_domain_;
+        auto const cost = [&](owner_view const& view, bool own)
+        {
+            auto const lacking = view.free_millicores < demand
+                                     ? duration{std::chrono::milliseconds{5}}
+                                     : duration{};
+            return view.expected_wait + lacking +
+                   (own ? duration{} : overflow_margin);
+        };
+        if (cost(owner, is_own) < cost(*best, best_is_own))
+        {
+            best = &owner;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional{*best};
+}
+
+void job_gateway::place(open_job& open, std::span<owner_view const> owners,
+                        time_point now, std::vector<gateway_action>& out)
+{
+    auto const chosen = choose(open, owners);
+    if (!chosen)
+    {
+        return;
+    }
+    open.owner = chosen;
+    open.without_owner_since.reset();
+    out.emplace_back(send_offer{chosen->instance,
+                                {open.job, now - open.arrived, open.resumed}});
+}
+
+void job_gateway::caller_gone(request_id request,
+                              std::vector<gateway_action>& out)
+{
+    auto const found = std::ranges::find_if(
+        jobs_,
+        [request](auto const& entry)
+        {
+            return std::ranges::find(entry.second.requests, request) !=
+                   entry.second.requests.end();
+        });
+    if (found == jobs_.end())
+    {
+        return;
+    }
+    auto& open = found->second;
+    std::erase(open.requests, request);
+    if (!open.requests.empty())
+    {
+        return;
+    }
+    if (open.owner)
+    {
+        out.emplace_back(send_withdrawal{open.owner->instance, {found->first}});
+    }
+    jobs_.erase(found);
+}
+
+void job_gateway::verdict(instance_id from, job_verdict const& given,
+                          std::span<owner_view const> owners, time_point now,
+                          std::vector<gateway_action>& out)
+{
+    auto const found = jobs_.find(given.job);
+    if (found == jobs_.end() || !found->second.owner ||
+        found->second.owner->instance != from)
+    {
+        return;
+    }
+    auto& open = found->second;
+    if (given.outcome == job_outcome::not_owner)
+    {
+        open.owner.reset();
+        open.without_owner_since = now;
+        return;
+    }
+    if (given.outcome != job_outcome::rejected)
+    {
+        answer(given.job, given.outcome, given.retry_after, "owner", now, out);
+        return;
+    }
+    open.declined.push_back(open.owner->domain);
+    auto const next = choose(open, owners);
+    bool const in_time = next && now - open.arrived + next->expected_wait +
+                                         overflow_margin +
+                                         critical_path(open.job.groups) <
+                                     open.job.objective;
+    if (!open.resumed && in_time)
+    {
+        place(open, owners, now, out);
+        return;
+    }
+    answer(given.job, job_outcome::rejected, given.retry_after, "overloaded",
+           now, out);
+}
+
+// Only the successor of a lost owner can know what runs, so a job stays in the
+// failure domain where it was offered first.
+void job_gateway::follow_owner(open_job& open,
+                               std::span<owner_view const> owners,
+                               time_point now, std::vector<gateway_action>& out)
+{
+    if (!open.owner)
+    {
+        place(open, owners, now, out);
+        return;
+    }
+    auto const current =
+        std::ranges::find(owners, open.owner->domain, &owner_view::domain);
+    if (current == owners.end())
+    {
+        open.resumed = true;
+        if (!open.without_owner_since)
+        {
+            open.without_owner_since = now;
+        }
+        return;
+    }
+    bool const unchanged = !open.without_owner_since &&
+                           current->instance == open.owner->instance &&
+                           current->term == open.owner->term;
+    if (unchanged)
+    {
+        return;
+    }
+    open.resumed = true;
+    open.without_owner_since.reset();
+    open.owner = *current;
+    out.emplace_back(
+        send_offer{current->instance, {open.job, now - open.arrived, true}});
+}
+
+void job_gateway::tick(std::span<owner_view const> owners, time_point now,
+                       std::vector<gateway_action>& out)
+{
+    struct ended_job
+    {
+        client_job_id id;
+        job_outcome outcome;
+        std::string_view reason;
+    };
+
+    std::vector<ended_job> ended;
+    for (auto& [id, open] : jobs_)
+    {
+        follow_owner(open, owners, now, out);
+        bool const forsaken = open.without_owner_since &&
+                              now - *open.without_owner_since > owner_patience;
+        if (forsaken)
+        {
+            ended.push_back(
+                {id,
+                 open.resumed ? job_outcome::abandoned : job_outcome::rejected,
+                 open.owner ? "owner_unreachable" : "no_owner"});
+            continue;
+        }
+        if (now - open.arrived >= open.job.time_limit)
+        {
+            ended.push_back({id, job_outcome::abandoned, "time_limit"});
+        }
+    }
+    for (auto const& [id, outcome, reason] : ended)
+    {
+        auto const& open = jobs_.at(id);
+        if (open.owner)
+        {
+            out.emplace_back(send_withdrawal{open.owner->instance, {id}});
+        }
+        answer(id, outcome, no_owner_retry, reason, now, out);
+    }
+}
+
+void job_gateway::answer(client_job_id job, job_outcome outcome,
+                         duration retry_after, std::string_view reason,
+                         time_point now, std::vector<gateway_action>& out)
+{
+    auto const node = jobs_.extract(job);
+    auto const& open = node.mapped();
+    if (outcome == job_outcome::rejected && open.resumed)
+    {
+        outcome = job_outcome::abandoned;
+    }
+    for (auto const request : open.requests)
+    {
+        answer_job answer{request,     job,    outcome,
+                          retry_after, reason, now - open.arrived,
+                          std::nullopt};
+        if (open.owner)
+        {
+            answer.owner = open.owner->instance;
+        }
+        out.emplace_back(answer);
+    }
+}
+
+} // namespace goldcrestgate::core
--- /dev/null
+++ b/src/core/leasing/job_scheduler.cpp
@@ -0,0 +1,248 @@
+#include "goldcrestgate/core/leasing/job_scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestgate::core
+{
+
+namespace
+{
+
+using detail::scheduler_turn;
+
+/// Steps of time in which waiting jobs, leases and overdue runs are judged.
+constexpr duration busy_tick = std::chrono::milliseconds{20};
+constexpr duration idle_tick = std::chrono::milliseconds{200};
+
+} // namespace
+
+job_scheduler::job_scheduler(scheduler_limits limits)
+    : state_(limits)
+{
+}
+
+// --- ownership ---
+
+void job_scheduler::take_over(fencing_token token, time_point now,
+                              std::vector<scheduler_action>& out)
+{
+    scheduler_turn turn{now, out};
+    state_.owner = true;
+    state_.fenced = false;
+    state_.token = token;
+    state_.owner_since = now;
+    scheduling_note note{.event = "ownership_taken"};
+    note.count = state_.executors.size();
+    out.emplace_back(note);
+    for (auto& [id, executor] : state_.executors)
+    {
+        executor.claimed = false;
+        executor.fenced = false;
+        executor.hold.reset();
+        executor.next_hold_at = now;
+        executor.lapses_at = now + state_.lapse_time();
+        state_.send_hold(executor, turn);
+    }
+}
+
+void job_scheduler::abdicate(time_point now, std::vector<scheduler_action>& out)
+{
+    if (!state_.owner)
+    {
+        return;
+    }
+    scheduling_note note{.event = "ownership_given_up"};
+    note.count = state_.jobs.size();
+    out.emplace_back(note);
+    state_.owner = false;
+    state_.fenced = false;
+    state_.jobs.clear();
+    state_.past.clear();
+    for (auto& [id, executor] : state_.executors)
+    {
+        executor.claimed = false;
+        executor.hold.reset();
+        executor.runs.clear();
+        executor.used = {};
+        executor.lapses_at = now + state_.lapse_time();
+    }
+}
+
+// --- executors ---
+
+void job_scheduler::list(executor_id id,
+                         executor_description const& description,
+                         time_point now, std::vector<scheduler_action>& out)
+{
+    scheduler_turn turn{now, out};
+    auto& executor = state_.executors[id];
+    bool const is_new = executor.description.address.empty();
+    bool const restarted =
+        !is_new &&
+        (executor.description.incarnation != description.incarnation ||
+         executor.description.address != description.address);
+    bool const relabelled =
+        is_new || executor.description.labels != description.labels;
+    if (restarted)
+    {
+        state_.lose_executor(executor, "restarted", turn);
+        executor.health = {};
+    }
+    executor.id = id;
+    executor.description = description;
+    executor.listed = true;
+    if (relabelled)
+    {
+        auto const& labels = description.labels;
+        state_.speeds.remove(id);
+        state_.speeds.add(id, labels.empty() ? "" : labels.front());
+    }
+    if (is_new)
+    {
+        executor.lapses_at = now + state_.lapse_time();
+    }
+    if (state_.owner && !executor.claimed && !executor.hold && !executor.fenced)
+    {
+        state_.send_hold(executor, turn);
+    }
+}
+
+void job_scheduler::unlist(executor_id id, time_point now)
+{
+    auto const found = state_.executors.find(id);
+    if (found == state_.executors.end())
+    {
+        return;
+    }
+    auto& executor = found->second;
+    if (executor.listed)
+    {
+        executor.unlisted_at = now;
+    }
+    executor.listed = false;
+    if (!state_.owner || executor.runs.empty())
+    {
+        state_.speeds.remove(id);
+        state_.executors.erase(found);
+    }
+}
+
+// --- jobs ---
+
+void job_scheduler::offer(instance_id origin, job_offer const& offered,
+                          time_point now, std::vector<scheduler_action>& out)
+{
+    scheduler_turn turn{now, out};
+    state_.offer(origin, offered, turn);
+    state_.place_waiting(turn);
+}
+
+void job_scheduler::withdraw(instance_id origin, client_job_id job,
+                             time_point now, std::vector<scheduler_action>& out)
+{
+    auto const found = state_.jobs.find(job);
+    if (found == state_.jobs.end() || found->second.origin != origin)
+    {
+        return;
+    }
+    scheduler_turn turn{now, out};
+    auto& record = found->second;
+    if (!record.started)
+    {
+        state_.close(job, job_outcome::rejected, {}, "caller_left", turn);
+        return;
+    }
+    // The work that runs may still serve the caller's next attempt, so it is
+    // kept until just before that attempt may come elsewhere.
+    record.unwanted_at =
+        now + state_.limits.resubmission_delay - 4 * state_.limits.stop_time;
+}
+
+void job_scheduler::origin_lost(instance_id origin, time_point now)
+{
+    // The loss is noticed late, so less of the delay is left than after a
+    // withdrawal.
+    auto const until = now + state_.limits.resubmission_delay / 4;
+    for (auto& [id, job] : state_.jobs)
+    {
+        if (job.origin == origin && !job.unwanted_at)
+        {
+            job.unwanted_at = until;
+        }
+    }
+}
+
+// --- answers and time ---
+
+void job_scheduler::start_answered(order_answer const& answer, time_point now,
+                                   std::vector<scheduler_action>& out)
+{
+    scheduler_turn turn{now, out};
+    state_.start_answered(answer, turn);
+    state_.place_waiting(turn);
+}
+
+void job_scheduler::stop_answered(order_answer const& answer, time_point now,
+                                  std::vector<scheduler_action>& out)
+{
+    scheduler_turn turn{now, out};
+    state_.stop_answered(answer, turn);
+}
+
+void job_scheduler::hold_answered(hold_answer const& answer, time_point now,
+                                  std::vector<scheduler_action>& out)
+{
+    scheduler_turn turn{now, out};
+    state_.hold_answered(answer, turn);
+    state_.place_waiting(turn);
+}
+
+void job_scheduler::tick(time_point now, std::vector<scheduler_action>& out)
+{
+    scheduler_turn turn{now, out};
+    if (state_.owner)
+    {
+        state_.tick(turn);
+    }
+}
+
+time_point job_scheduler::next_tick(time_point now) const
+{
+    bool const busy =
+        state_.owner &&
+        (!state_.jobs.empty() || !state_.claims_settled(now) ||
+         std::ranges::any_of(state_.executors,
+                             [](auto const& entry)
+                             {
+                                 return !entry.second.runs.empty();
+                             }));
+    return now + (busy ? busy_tick : idle_tick);
+}
+
+scheduler_load job_scheduler::load(time_point now) const
+{
+    scheduler_load load;
+    load.executors = state_.executors.size();
+    load.jobs = state_.jobs.size();
+    load.waiting_tasks = state_.waiting_tasks();
+    for (auto const& [id, executor] : state_.executors)
+    {
+        load.active_runs += executor.runs.size();
+        load.claimed += executor.claimed ? 1 : 0;
+        if (state_.owner && state_.accepts(executor, now))
+        {
+            auto free = executor.description.capacity;
+            free -= executor.used;
+            load.free_millicores += free.cpu_millicores;
+        }
+    }
+    double const usable = std::max(state_.usable_millicores(now), 1.0);
+    double const wait_s = state_.waiting_work(time_point::max()) / usable;
+    constexpr double longest_wait_s = 60.0;
+    load.expected_wait =
+        duration{std::llround(std::min(wait_s, longest_wait_s) * 1e6)};
+    return load;
+}
+
+} // namespace goldcrestgate::core
--- /dev/null
+++ b/src/core/leasing/placement.cpp
@@ -0,0 +1,77 @@
+#include "goldcrestgate/core/leasing/placement.hpp"
+
+#include <cmath>
+
+namespace goldcrestgate::core
+{
+
+namespace
+{
+
+/// Slowdowns closer than this are taken as equal; learned values of like
+/// executors differ by a few percent.
+constexpr double equal_speed_tolerance = 0.08;
+
+duration scale(duration span, double factor)
+{
+    return duration{std::llround(static_cast<double>(span.count()) * factor)};
+}
+
+bool is_tighter(placement_candidate const& left,
+                placement_candidate const& right)
+{
+    return left.free.cpu_millicores < right.free.cpu_millicores;
+}
+
+/// Returns whether @a left is the better one of two that both meet the
+/// objective, or that both miss it.
+bool is_better(placement_candidate const& left,
+               placement_candidate const& right, bool prefer_slow)
+{
+    double const difference = left.slowdown - right.slowdown;
+    if (std::abs(difference) <= equal_speed_tolerance)
+    {
+        return is_tighter(left, right);
+    }
+    return prefer_slow ? difference > 0 : difference < 0;
+}
+
+} // namespace
+
+std::optional<placement_choice>
+choose_executor(std::span<placement_candidate const> candidates,
+                resource_amounts const& demand, duration estimate,
+                duration time_left)
+{
+    placement_candidate const* best = nullptr;
+    bool best_meets = false;
+    std::uint32_t fitting = 0;
+    for (auto const& candidate : candidates)
+    {
+        if (!demand.fits_into(candidate.free))
+        {
+            continue;
+        }
+        ++fitting;
+        bool const meets =
+            scale(estimate, candidate.slowdown * estimate_margin) <= time_left;
+        bool const improves =
+            best == nullptr || (meets && !best_meets) ||
+            (meets == best_meets && is_better(candidate, *best, meets));
+        if (improves)
+        {
+            best = &candidate;
+            best_meets = meets;
+        }
+    }
+    if (best == nullptr)
+    {
+        return std::nullopt;
+    }
+    return placement_choice{best->executor, scale(estimate, best->slowdown),
+                            best_meets ? placement_reason::meets_objective
+                                       : placement_reason::earliest_finish,
+                            fitting};
+}
+
+} // namespace goldcrestgate::core
--- /dev/null
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -0,0 +1,378 @@
+#include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace goldcrestgate::core::detail
+{
+
+namespace
+{
+
+/// Longest wait of a hold: it bounds how late an end is seen when the answer
+/// of one hold is lost, and leaves half of a lease for a renewal.
+constexpr duration hold_wait = std::chrono::milliseconds{400};
+
+/// Time for the answer to a hold beyond its wait.
+constexpr duration hold_grace = std::chrono::milliseconds{160};
+
+/// Pause after a hold without an answer.
+constexpr duration hold_retry = std::chrono::milliseconds{80};
+
+/// Runs of an earlier owner are kept for this long after they are seen, for
+/// their job to be offered again; instances do so within a heartbeat or two.
+constexpr duration orphan_patience = std::chrono::milliseconds{400};
+
+/// A run that has taken this many times the expected time, and some more, is
+/// taken as standing still. Run times vary by 40%, and estimates by as much.
+constexpr double stall_factor = 3.0;
+constexpr duration stall_margin = std::chrono::milliseconds{120};
+
+/// An executor's clock may be 2% slow; the rest covers the way of the order.
+constexpr double clock_drift = 1.04;
+constexpr duration lapse_margin = std::chrono::milliseconds{60};
+
+/// An executor that is missing from the list this long gets no more holds.
+constexpr duration unlisted_patience = std::chrono::seconds{5};
+
+duration scale(duration span, double factor)
+{
+    return duration{std::llround(static_cast<double>(span.count()) * factor)};
+}
+
+} // namespace
+
+duration scheduler_state::lapse_time() const
+{
+    return scale(limits.longest_lease, clock_drift) + lapse_margin;
+}
+
+bool scheduler_state::claims_settled(time_point now) const
+{
+    return now >= owner_since + lapse_time() ||
+           std::ranges::all_of(executors,
+                               [](auto const& entry)
+                               {
+                                   return entry.second.claimed;
+                               });
+}
+
+void scheduler_state::send_hold(executor_record& executor, scheduler_turn& turn)
+{
+    hold_executor order;
+    order.order = next_order();
+    order.executor = executor.id;
+    order.token = token;
+    order.acknowledged = executor.claimed ? executor.acknowledged : 0;
+    bool const renews = executor.claimed && !executor.silent;
+    if (renews)
+    {
+        order.lease_until = lease_end(executor, turn.now);
+        executor.lapses_at = turn.now + lapse_time();
+    }
+    bool const waits = renews && !executor.recount;
+    order.wait = waits ? hold_wait : duration{};
+    order.timeout = order.wait + hold_grace;
+    executor.hold = order.order;
+    executor.hold_sent_at = turn.now;
+    turn.out.emplace_back(order);
+}
+
+void scheduler_state::hold_answered(hold_answer const& answer,
+                                    scheduler_turn& turn)
+{
+    auto const found = executors.find(answer.executor);
+    if (!owner || found == executors.end())
+    {
+        return;
+    }
+    auto& executor = found->second;
+    bool const is_latest = executor.hold == answer.order;
+    auto const sent_at = executor.hold_sent_at;
+    if (is_latest)
+    {
+        executor.hold.reset();
+    }
+    if (answer.outcome == order_outcome::fenced)
+    {
+        if (is_latest)
+        {
+            executor.fenced = true;
+            fenced = true;
+            lose_executor(executor, "fenced", turn);
+        }
+        return;
+    }
+    if (answer.outcome != order_outcome::accepted)
+    {
+        if (!is_latest)
+        {
+            return;
+        }
+        if (answer.outcome == order_outcome::other_incarnation)
+        {
+            lose_executor(executor, "restarted", turn);
+        }
+        if (!executor.silent && executor.claimed)
+        {
+            scheduling_note note{.event = "executor_silent",
+                                 .executor = executor.id};
+            note.reason = outcome_name(answer.outcome);
+            note.count = executor.runs.size();
+            turn.out.emplace_back(note);
+        }
+        executor.silent = true;
+        executor.health.silent(turn.now);
+        executor.next_hold_at = turn.now + hold_retry;
+        return;
+    }
+    bool const restarted =
+        answer.incarnation != 0 && executor.description.incarnation != 0 &&
+        answer.incarnation != executor.description.incarnation;
+    if (restarted)
+    {
+        lose_executor(executor, "restarted", turn);
+        executor.description.incarnation = answer.incarnation;
+    }
+    note_clock(executor, answer.clock, turn.now);
+    executor.silent = false;
+    executor.health.answered();
+    if (!executor.claimed)
+    {
+        claim_answered(executor, answer, turn);
+    }
+    apply_ends(executor, answer, turn);
+    if (is_latest)
+    {
+        compare_running(executor, answer, sent_at, turn);
+        executor.recount = false;
+        if (!executor.runs.empty())
+        {
+            send_hold(executor, turn);
+        }
+    }
+}
+
+void scheduler_state::claim_answered(executor_record& executor,
+                                     hold_answer const& answer,
+                                     scheduler_turn& turn)
+{
+    executor.claimed = true;
+    executor.fenced = false;
+    scheduling_note note{.event = "executor_claimed", .executor = executor.id};
+    note.count = answer.running.size();
+    note.run_time = turn.now - owner_since;
+    turn.out.emplace_back(note);
+    for (auto const& listed : answer.running)
+    {
+        if (find_run(executor, listed) != nullptr)
+        {
+            continue;
+        }
+        run_record run;
+        run.run = listed;
+        run.phase = run_phase::running;
+        run.sent_at = turn.now;
+        run.confirmed_at = turn.now;
+        run.orphan_until = turn.now + orphan_patience;
+        executor.runs.push_back(run);
+    }
+    for (auto& [id, job] : jobs)
+    {
+        adopt_runs(job, turn);
+    }
+}
+
+void scheduler_state::adopt_runs(job_record& job, scheduler_turn& turn)
+{
+    for (auto& [id, executor] : executors)
+    {
+        for (auto& run : executor.runs)
+        {
+            auto const& task = run.run.task;
+            if (!run.orphan_until || task.job != job.job.id ||
+                task.group >= job.groups.size() ||
+                task.index >= job.groups[task.group].tasks.size())
+            {
+                continue;
+            }
+            auto& group = job.groups[task.group];
+            auto& entry = group.tasks[task.index];
+            if (entry.phase != task_phase::waiting)
+            {
+                continue;
+            }
+            auto const& wanted = job.job.groups[task.group];
+            entry.phase = task_phase::active;
+            entry.last_execution =
+                std::max(entry.last_execution, run.run.execution);
+            --group.waiting;
+            job.started = true;
+            run.orphan_until.reset();
+            if (run.amounts == resource_amounts{})
+            {
+                run.amounts = wanted.each_task;
+                executor.used += run.amounts;
+            }
+            run.estimate = duration{};
+            run.expected = scale(wanted.estimate, speeds.slowdown(id));
+            scheduling_note note{.event = "run_adopted",
+                                 .job = job.job.id,
+                                 .run = run.run,
+                                 .executor = id};
+            note.slack = job.due - turn.now;
+            turn.out.emplace_back(note);
+        }
+    }
+}
+
+void scheduler_state::apply_ends(executor_record& executor,
+                                 hold_answer const& answer,
+                                 scheduler_turn& turn)
+{
+    for (auto const& finished : answer.finished)
+    {
+        if (finished.number <= executor.acknowledged)
+        {
+            continue;
+        }
+        executor.acknowledged = finished.number;
+        auto const* const run = find_run(executor, finished.run);
+        if (run == nullptr)
+        {
+            continue;
+        }
+        auto const record = *run;
+        remove_run(executor, finished.run);
+        task_ended(executor, record, finished.end, turn);
+    }
+}
+
+// A run that was confirmed before the hold was sent, and is neither listed as
+// running nor as ended, is gone; a listed run that nobody here knows is a late
+// start or one whose job was closed.
+void scheduler_state::compare_running(executor_record& executor,
+                                      hold_answer const& answer,
+                                      time_point sent_at, scheduler_turn& turn)
+{
+    std::set<task_run> const listed{answer.running.begin(),
+                                    answer.running.end()};
+    std::vector<run_record> gone;
+    for (auto& run : executor.runs)
+    {
+        bool const is_listed = listed.contains(run.run);
+        if (is_listed && run.phase == run_phase::starting)
+        {
+            run.phase = run_phase::running;
+            run.confirmed_at = turn.now;
+        }
+        if (!is_listed && run.phase == run_phase::running &&
+            run.confirmed_at < sent_at)
+        {
+            gone.push_back(run);
+        }
+    }
+    for (auto const& run : gone)
+    {
+        remove_run(executor, run.run);
+        task_ended(executor, run, run_end::lapsed, turn);
+    }
+    for (auto const& run : answer.running)
+    {
+        if (find_run(executor, run) == nullptr)
+        {
+            run_record unknown;
+            unknown.run = run;
+            unknown.phase = run_phase::running;
+            unknown.sent_at = turn.now;
+            unknown.confirmed_at = turn.now;
+            unknown.orphan_until = turn.now;
+            executor.runs.push_back(unknown);
+            request_stop(executor, executor.runs.back(), turn);
+        }
+    }
+}
+
+void scheduler_state::check_runs(executor_record& executor,
+                                 scheduler_turn& turn)
+{
+    bool const lapsed = !executor.fenced && turn.now >= executor.lapses_at;
+    std::vector<run_record> over;
+    for (auto& run : executor.runs)
+    {
+        bool const stop_over =
+            run.phase == run_phase::stop_accepted && turn.now >= run.stop_due;
+        if (lapsed || stop_over)
+        {
+            over.push_back(run);
+            continue;
+        }
+        if (run.phase == run_phase::stopping && !run.stop_in_flight &&
+            turn.now >= run.stop_due)
+        {
+            request_stop(executor, run, turn);
+        }
+        bool const stalled =
+            run.phase == run_phase::running && !run.orphan_until &&
+            turn.now - run.sent_at >
+                scale(run.expected, stall_factor) + stall_margin;
+        bool const unclaimed = run.phase == run_phase::running &&
+                               run.orphan_until &&
+                               *run.orphan_until <= turn.now;
+        if (stalled)
+        {
+            scheduling_note note{.event = "run_stalled",
+                                 .job = run.run.task.job,
+                                 .run = run.run,
+                                 .executor = executor.id};
+            note.run_time = turn.now - run.sent_at;
+            note.slack = run.expected;
+            turn.out.emplace_back(note);
+            executor.health.struck(turn.now);
+        }
+        if (stalled || unclaimed)
+        {
+            request_stop(executor, run, turn);
+        }
+    }
+    for (auto const& run : over)
+    {
+        remove_run(executor, run.run);
+        task_ended(executor, run, lapsed ? run_end::lapsed : run_end::stopped,
+                   turn);
+    }
+}
+
+void scheduler_state::tick(scheduler_turn& turn)
+{
+    std::vector<executor_id> dropped;
+    for (auto& [id, executor] : executors)
+    {
+        check_runs(executor, turn);
+        bool const forgotten =
+            !executor.listed && executor.runs.empty() &&
+            turn.now >= executor.unlisted_at + unlisted_patience;
+        if (forgotten)
+        {
+            dropped.push_back(id);
+            continue;
+        }
+        bool const needed = !executor.claimed || executor.silent ||
+                            executor.recount || !executor.runs.empty();
+        if (needed && !executor.hold && !executor.fenced &&
+            turn.now >= executor.next_hold_at)
+        {
+            send_hold(executor, turn);
+        }
+    }
+    for (auto const id : dropped)
+    {
+        speeds.remove(id);
+        executors.erase(id);
+    }
+    expire_jobs(turn);
+    place_waiting(turn);
+}
+
+} // namespace goldcrestgate::core::detail
--- a/src/core/settings/schema.cpp
+++ b/src/core/settings/schema.cpp
@@ -97,6 +97,24 @@
     return false;
 }
 
+template <typename Predicate>
+bool all_parts(std::string_view text, Predicate predicate)
+{
+    while (true)
+    {
+        auto const comma = text.find(',');
+        if (!predicate(text.substr(0, comma)))
+        {
+            return false;
+        }
+        if (comma == std::string_view::npos)
+        {
+            return true;
+        }
+        text.remove_prefix(comma + 1);
+    }
+}
+
 bool matches(text_rule const& rule, std::string_view text)
 {
     switch (rule.form)
@@ -107,6 +125,10 @@
         return is_address(text);
     case text_form::choice:
         return is_choice(text, rule.choices);
+    case text_form::labels:
+        return all_parts(text, is_label);
+    case text_form::addresses:
+        return text.empty() || all_parts(text, is_address);
     }
     return false;
 }
@@ -121,6 +143,12 @@
         return "an address such as 127.0.0.1:8000 or [::1]:8000";
     case text_form::choice:
         return "one of " + std::string{rule.choices};
+    case text_form::labels:
+        return "labels of 1 to 64 letters, digits, dots, hyphens or "
+               "underscores, separated by commas";
+    case text_form::addresses:
+        return "addresses such as 127.0.0.1:8000, separated by commas; may be "
+               "empty";
     }
     return {};
 }
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -114,7 +114,9 @@
     {
         request.body = to_view(source.entity);
     }
-    request.headers.reserve(source.headers.size);
+    request.headers.reserve(source.headers.size + 1);
+    // The library takes the host out of the headers.
+    request.headers.emplace_back("host", to_view(source.input.authority));
     for (std::size_t i = 0; i < source.headers.size; ++i)
     {
         auto const& header = source.headers.entries[i];
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -259,6 +259,84 @@
             .Union()};
 }
 
+fb::Offset<detail::TaskGroup> to_wire(builder& out,
+                                      core::task_group const& group)
+{
+    auto const& [task_count, each, estimate, label, rack, most, after] = group;
+    detail::Amounts const amounts{each.cpu_millicores, each.memory_mb,
+                                  each.accelerators};
+    auto const label_text = out.CreateString(label);
+    auto const rack_text = out.CreateString(rack);
+    auto const earlier = out.CreateVector(after);
+    return detail::CreateTaskGroup(out, task_count, &amounts, estimate.count(),
+                                   label_text, rack_text, most, earlier);
+}
+
+encoded_message encode(builder& out, core::job_offer const& message)
+{
+    auto const& [job, elapsed, resumed] = message;
+    auto const service = out.CreateString(job.service);
+    auto const payload = out.CreateString(job.payload);
+    std::vector<fb::Offset<detail::TaskGroup>> groups;
+    groups.reserve(job.groups.size());
+    for (auto const& group : job.groups)
+    {
+        groups.push_back(to_wire(out, group));
+    }
+    auto const group_list = out.CreateVector(groups);
+    return {detail::Message::JobOffer,
+            detail::CreateJobOffer(
+                out, job.id.value(), service, payload, group_list,
+                job.max_attempts, job.priority, job.objective.count(),
+                job.time_limit.count(), elapsed.count(), resumed)
+                .Union()};
+}
+
+encoded_message encode(builder& out, core::job_withdrawal const& message)
+{
+    auto const& [job] = message;
+    return {detail::Message::JobWithdrawal,
+            detail::CreateJobWithdrawal(out, job.value()).Union()};
+}
+
+encoded_message encode(builder& out, core::job_verdict const& message)
+{
+    auto const& [job, outcome, retry_after] = message;
+    return {detail::Message::JobVerdict,
+            detail::CreateJobVerdict(out, job.value(),
+                                     static_cast<std::uint8_t>(outcome),
+                                     retry_after.count())
+                .Union()};
+}
+
+encoded_message encode(builder& out, core::owner_heartbeat const& message)
+{
+    auto const& [term, highest_term, weight, leaving, free, wait] = message;
+    return {detail::Message::OwnerHeartbeat,
+            detail::CreateOwnerHeartbeat(out, term, highest_term, weight,
+                                         leaving, free, wait.count())
+                .Union()};
+}
+
+encoded_message encode(builder& out, core::peer_addresses const& message)
+{
+    auto const& [addresses] = message;
+    auto const list = out.CreateVectorOfStrings(addresses);
+    return {detail::Message::PeerAddresses,
+            detail::CreatePeerAddresses(out, list).Union()};
+}
+
+encoded_message encode(builder& out,
+                       core::published_configuration const& message)
+{
+    auto const& [version, document] = message;
+    auto const bytes =
+        out.CreateVector(reinterpret_cast<std::uint8_t const*>(document.data()),
+                         document.size());
+    return {detail::Message::PublishedConfiguration,
+            detail::CreatePublishedConfiguration(out, version, bytes).Union()};
+}
+
 template <typename Integer>
 void append_little_endian(std::string& out, Integer value)
 {
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -38,6 +38,30 @@
     return batch;
 }
 
+core::job_offer make_offer()
+{
+    using std::chrono::milliseconds;
+    core::task_group first;
+    first.task_count = 3;
+    first.each_task = {27'000, 64, 1};
+    first.estimate = milliseconds{60};
+    first.required_label = "a";
+    first.preferred_rack = "r1-2";
+    first.max_per_executor = 2;
+    auto second = first;
+    second.after = {0};
+    core::leased_job job;
+    job.id = core::client_job_id{0xfedcba9876543210};
+    job.service = "desk";
+    job.payload = "payload";
+    job.groups = {first, second};
+    job.max_attempts = 4;
+    job.priority = 5;
+    job.objective = milliseconds{156};
+    job.time_limit = milliseconds{1500};
+    return {job, milliseconds{7}, true};
+}
+
 /// One message of each kind, no field with its default value.
 std::vector<core::peer_message> all_messages()
 {
@@ -60,7 +84,15 @@
             19,
             core::slot_need{20, 21},
             {{core::server_id{22}, 23}, {core::server_id{24}, 25}}},
-        core::slot_message{26, std::nullopt, {}}};
+        core::slot_message{26, std::nullopt, {}},
+        make_offer(),
+        core::job_withdrawal{core::client_job_id{27}},
+        core::job_verdict{core::client_job_id{28}, core::job_outcome::rejected,
+                          std::chrono::seconds{2}},
+        core::owner_heartbeat{29, 30, 31, true, 32,
+                              std::chrono::milliseconds{33}},
+        core::peer_addresses{{"127.0.0.1:9101", "127.0.0.1:9102"}},
+        core::published_configuration{34, "{\"version\":34}"}};
 }
 
 std::string frame_of(core::peer_message const& message)
