Let long tasks wait for fast executors and look at them often

Cause: of the largest tenth of the long jobs too few ended in time, as they were started on slow executors or rejected by an estimate that was too high. Ruled out: a lower admission margin alone (the starts end as hopeless).

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace goldcrestgate::core
@@ -65,7 +66,7 @@
     /// The last progress that was listed and when it was seen first.
     std::uint32_t progress_percent = 0;
     time_point progress_at{};
-    /// When the run ends, as its progress shows.
+    /// When the run ends at the earliest, as its progress shows.
     std::optional<time_point> ends_at;
     /// Set for a run of an earlier owner whose job was not offered again yet;
     /// it is stopped at this time.
@@ -151,6 +152,17 @@
     time_point forget_at{};
 };
 
+/// @brief Which waiting work is counted.
+struct waiting_scope
+{
+    time_point now;
+    /// Work that must begin until then.
+    time_point before;
+    double slowest_slowdown = 1.0;
+    /// Count only work that needs fast executors.
+    bool only_restricted = false;
+};
+
 /// @brief The state of a @ref job_scheduler and what its parts share.
 class scheduler_state
 {
@@ -186,9 +198,16 @@
     void blame(executor_record& executor, task_record& task, time_point now);
     void expire_jobs(scheduler_turn& turn);
     [[nodiscard]] std::size_t waiting_tasks() const;
-    [[nodiscard]] double usable_millicores(time_point now) const;
-    [[nodiscard]] double waiting_work(time_point before) const;
-    [[nodiscard]] double fastest_slowdown(time_point now) const;
+    /// Room of the executors up to a slowdown, as that of executors whose run
+    /// times equal the estimates.
+    [[nodiscard]] double usable_millicores(time_point now,
+                                           double slowest) const;
+    /// CPU time of waiting tasks in millicore-seconds.
+    [[nodiscard]] double waiting_work(waiting_scope const& scope) const;
+    [[nodiscard]] duration expected_wait(time_point now) const;
+    /// The least and the greatest slowdown of the usable executors.
+    [[nodiscard]] std::pair<double, double>
+    slowdown_range(time_point now) const;
 
     // runs and orders
     void start(job_record& job, std::uint16_t group, std::uint16_t index,
--- a/include/goldcrestgate/core/leasing/placement.hpp
+++ b/include/goldcrestgate/core/leasing/placement.hpp
@@ -45,18 +45,37 @@
     duration to_objective{};
     /// Until the caller stops waiting.
     duration to_limit{};
+    /// Since the job's arrival.
+    duration waited{};
+    /// The least slowdown of all executors that may run the task, those
+    /// without room included.
+    double fastest_slowdown = 1.0;
 };
 
 /// The objective is a multiple of the run time, so that a wrong estimate moves
 /// both; only the spread among the tasks of a job is left.
 inline constexpr double objective_margin = 1.06;
 
-/// The time limit is fixed, and estimates are up to 40% too low.
-inline constexpr double limit_margin = 1.4;
+/// The time limit is fixed, and run times exceed estimates by up to this
+/// factor, as estimates are wrong by 40% and tasks of a job differ.
+inline constexpr double limit_margin = 1.8;
+
+/// A task that may be too long for the executors with room waits this long for
+/// a faster one; short tasks on fast executors end within it.
+inline constexpr duration fast_executor_patience =
+    std::chrono::milliseconds{200};
 
 /// An executor that would exceed the time limit even if the estimate is this
-/// much too high is not used: the work would be lost.
-inline constexpr double hopeless_margin = 0.85;
+/// much too high is not used: the work would be lost. A start that turns out
+/// to be hopeless costs little, as its progress shows that early.
+inline constexpr double hopeless_margin = 0.65;
+
+/// @brief Returns whether some executors are too slow for a task.
+/// @param slowest_slowdown the greatest slowdown of all executors
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] bool needs_fast_executor(placement_times const& times,
+                                       double slowest_slowdown);
 
 /// @brief Chooses the executor of one task.
 ///
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -83,6 +83,7 @@
                 job.groups.empty()
                     ? 0
                     : job.groups.front().each_task.cpu_millicores)
+        .number("estimate_ms", to_ms(core::critical_path(job.groups)))
         .number("objective_ms", to_ms(job.objective))
         .number("time_limit_ms", to_ms(job.time_limit))
         .number("elapsed_ms", to_ms(offer.offer.elapsed))
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -1,7 +1,6 @@
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace goldcrestgate::core
 {
@@ -246,11 +245,7 @@
             load.free_millicores += free.cpu_millicores;
         }
     }
-    double const usable = std::max(state_.usable_millicores(now), 1.0);
-    double const wait_s = state_.waiting_work(time_point::max()) / usable;
-    constexpr double longest_wait_s = 60.0;
-    load.expected_wait =
-        duration{std::llround(std::min(wait_s, longest_wait_s) * 1e6)};
+    load.expected_wait = state_.expected_wait(now);
     return load;
 }
 
--- a/src/core/leasing/placement.cpp
+++ b/src/core/leasing/placement.cpp
@@ -38,6 +38,12 @@
 
 } // namespace
 
+bool needs_fast_executor(placement_times const& times, double slowest_slowdown)
+{
+    return scale(times.estimate, slowest_slowdown * limit_margin) >
+           times.to_limit;
+}
+
 std::optional<placement_choice>
 choose_executor(std::span<placement_candidate const> candidates,
                 resource_amounts const& demand, placement_times const& times)
@@ -74,6 +80,15 @@
     {
         return std::nullopt;
     }
+    bool const is_safe =
+        run_time(best->slowdown, limit_margin) <= times.to_limit;
+    bool const faster_exists =
+        times.fastest_slowdown * (1.0 + 2 * equal_speed_tolerance) <
+        best->slowdown;
+    if (!is_safe && faster_exists && times.waited < fast_executor_patience)
+    {
+        return std::nullopt;
+    }
     return placement_choice{best->executor, run_time(best->slowdown, 1.0),
                             best_meets ? placement_reason::meets_objective
                                        : placement_reason::earliest_finish,
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -85,6 +85,14 @@
     }
 }
 
+bool needs_fast(job_record const& job, time_point now, double slowest)
+{
+    placement_times times;
+    times.estimate = job.chain;
+    times.to_limit = job.limit - now;
+    return needs_fast_executor(times, slowest);
+}
+
 bool is_complete(job_record const& job)
 {
     return std::ranges::all_of(job.groups,
@@ -110,20 +118,23 @@
                                 description.labels.end();
 }
 
-/// Jobs that can be on time come first, those that must begin first before the
-/// others; then late ones, those whose work has begun before the others.
+/// Jobs that only fast executors can end in time come first, as the others
+/// have more executors to choose from; then jobs that can be on time, those
+/// that must begin first before the others; then late ones, those whose work
+/// has begun before the others.
 struct serving_order
 {
     time_point now;
+    double slowest;
 
     [[nodiscard]] std::pair<int, time_point> key(job_record const& job) const
     {
         auto const start = latest_start(job);
-        if (start >= now)
+        if (start < now)
         {
-            return {0, start};
+            return {job.started ? 2 : 3, job.due};
         }
-        return {job.started ? 1 : 2, job.due};
+        return {needs_fast(job, now, slowest) ? 0 : 1, start};
     }
 
     bool operator()(job_record const* left, job_record const* right) const
@@ -136,12 +147,12 @@
 
 // --- admission ---
 
-double scheduler_state::usable_millicores(time_point now) const
+double scheduler_state::usable_millicores(time_point now, double slowest) const
 {
     double total = 0.0;
     for (auto const& [id, executor] : executors)
     {
-        if (accepts(executor, now))
+        if (accepts(executor, now) && speeds.slowdown(id) <= slowest)
         {
             total += executor.description.capacity.cpu_millicores /
                      speeds.slowdown(id);
@@ -150,12 +161,18 @@
     return total * usable_share;
 }
 
-double scheduler_state::waiting_work(time_point before) const
+double scheduler_state::waiting_work(waiting_scope const& scope) const
 {
     double work = 0.0;
     for (auto const& [id, job] : jobs)
     {
-        if (latest_start(job) > before)
+        bool const restricted =
+            needs_fast(job, scope.now, scope.slowest_slowdown);
+        bool const counts =
+            scope.only_restricted
+                ? restricted
+                : restricted || latest_start(job) <= scope.before;
+        if (!counts)
         {
             continue;
         }
@@ -167,17 +184,31 @@
     return work;
 }
 
-double scheduler_state::fastest_slowdown(time_point now) const
+duration scheduler_state::expected_wait(time_point now) const
+{
+    constexpr double longest_wait_s = 60.0;
+    constexpr double microseconds = 1e6;
+    double const slowest = std::numeric_limits<double>::max();
+    double const usable = std::max(usable_millicores(now, slowest), 1.0);
+    double const wait_s =
+        waiting_work({now, time_point::max(), 1.0, false}) / usable;
+    return duration{
+        std::llround(std::min(wait_s, longest_wait_s) * microseconds)};
+}
+
+std::pair<double, double> scheduler_state::slowdown_range(time_point now) const
 {
     double fastest = std::numeric_limits<double>::max();
+    double slowest = 0.0;
     for (auto const& [id, executor] : executors)
     {
         if (accepts(executor, now))
         {
             fastest = std::min(fastest, speeds.slowdown(id));
+            slowest = std::max(slowest, speeds.slowdown(id));
         }
     }
-    return fastest == std::numeric_limits<double>::max() ? 1.0 : fastest;
+    return slowest > 0.0 ? std::pair{fastest, slowest} : std::pair{1.0, 1.0};
 }
 
 void scheduler_state::offer(instance_id origin, job_offer const& offered,
@@ -218,13 +249,23 @@
     open_groups(job);
     adopt_runs(job, turn);
 
+    auto const [fastest, slowest] = slowdown_range(turn.now);
+    bool const restricted = needs_fast(job, turn.now, slowest);
+    // The slowest executors that may still end the job in time.
+    double const slowest_allowed =
+        job.chain > duration{}
+            ? static_cast<double>((job.limit - turn.now).count()) /
+                  (static_cast<double>(job.chain.count()) * hopeless_margin)
+            : slowest;
     admission_input input;
     input.time_to_objective = job.due - turn.now;
     input.time_to_limit = job.limit - turn.now;
-    input.fastest_run = scale(job.chain, fastest_slowdown(turn.now));
-    input.work_ahead = waiting_work(latest_start(job));
+    input.fastest_run = scale(job.chain, fastest * hopeless_margin);
+    input.work_ahead =
+        waiting_work({turn.now, latest_start(job), slowest, restricted});
     input.own_work = own_work;
-    input.total_millicores = usable_millicores(turn.now);
+    input.total_millicores =
+        usable_millicores(turn.now, std::max(slowest_allowed, fastest));
     input.room_now = input.work_ahead <= 0.0;
     auto const verdict = admit(input);
     auto& stored = jobs.emplace(id, std::move(job)).first->second;
@@ -279,7 +320,8 @@
     {
         return;
     }
-    std::ranges::sort(order, serving_order{turn.now});
+    auto const [fastest, slowest] = slowdown_range(turn.now);
+    std::ranges::sort(order, serving_order{turn.now, slowest});
     std::vector<placement_candidate> candidates;
     for (auto* const job : order)
     {
@@ -309,10 +351,11 @@
                     free -= executor.used;
                     candidates.push_back({id, free, speeds.slowdown(id)});
                 }
-                auto const choice =
-                    choose_executor(candidates, wanted.each_task,
-                                    {wanted.estimate, job->due - turn.now,
-                                     job->limit - turn.now});
+                auto const choice = choose_executor(
+                    candidates, wanted.each_task,
+                    {wanted.estimate, job->due - turn.now,
+                     job->limit - turn.now,
+                     turn.now - (job->limit - job->job.time_limit), fastest});
                 if (!choice)
                 {
                     break;
@@ -481,7 +524,7 @@
                   {
                       return entry.second.forget_at <= turn.now;
                   });
-    double const fastest = fastest_slowdown(turn.now);
+    double const fastest = slowdown_range(turn.now).first;
     std::vector<std::pair<client_job_id, std::string_view>> ended;
     for (auto& [id, job] : jobs)
     {
@@ -490,7 +533,8 @@
             job.awaits_claims = false;
             adopt_runs(job, turn);
         }
-        auto const finish = turn.now + scale(job.chain, fastest);
+        auto const finish =
+            turn.now + scale(job.chain, fastest * hopeless_margin);
         if (job.unwanted_at && *job.unwanted_at <= turn.now)
         {
             ended.emplace_back(id, "caller_left");
@@ -504,12 +548,12 @@
             ended.emplace_back(id, "objective_missed");
         }
     }
-    double const usable = std::max(usable_millicores(turn.now), 1.0);
+    auto const wait = ended.empty()
+                          ? duration{}
+                          : std::max<duration>(std::chrono::seconds{1},
+                                               expected_wait(turn.now));
     for (auto const& [id, reason] : ended)
     {
-        auto const wait =
-            std::chrono::ceil<duration>(std::chrono::duration<double>{
-                std::max(1.0, waiting_work(time_point::max()) / usable)});
         close(id, job_outcome::rejected, wait, reason, turn);
     }
 }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -36,6 +36,9 @@
 /// Below this the rounding of the listed progress makes the end uncertain.
 constexpr std::uint32_t reliable_progress_percent = 4;
 
+/// From here on the end is known to about 3%.
+constexpr std::uint32_t settled_progress_percent = 30;
+
 /// An executor's clock may be 2% slow; the rest covers the way of the order.
 constexpr double clock_drift = 1.04;
 constexpr duration lapse_margin = std::chrono::milliseconds{60};
@@ -276,15 +279,15 @@
     run->progress_at = turn.now;
     if (progress >= reliable_progress_percent && run->estimate > duration{})
     {
-        // The listed figure is rounded down, so half a percent is added.
+        // The listed figure is rounded, so the true one is up to 1 higher.
         auto const total =
-            scale(turn.now - run->sent_at, 100.0 / (progress + 0.5));
+            scale(turn.now - run->sent_at, 100.0 / (progress + 1.0));
         run->ends_at = run->sent_at + total;
     }
 }
 
 // A second look, beside the hold that waits, at a long run whose progress is
-// not known yet: it tells early whether the run can end in time.
+// not known well yet: it tells early whether the run can end in time.
 bool scheduler_state::wants_look(executor_record const& executor,
                                  time_point now) const
 {
@@ -299,7 +302,8 @@
                                    return run.phase == run_phase::running &&
                                           run.expected >= long_run &&
                                           now - run.sent_at >= first_look &&
-                                          !run.ends_at;
+                                          run.progress_percent <
+                                              settled_progress_percent;
                                });
 }
 
