--- /dev/null
+++ b/tests/unit/domain_ownership.cpp
@@ -0,0 +1,163 @@
+#include "goldcrestgate/core/leasing/domain_ownership.hpp"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace goldcrestgate::core;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t unix_ms = 1'800'000'000'000;
+
+instance_key key(std::uint16_t domain, std::uint32_t id)
+{
+    return {domain_id{domain}, instance_id{id}, incarnation{id}};
+}
+
+owner_heartbeat beat(std::uint64_t term, std::uint32_t weight = 250)
+{
+    owner_heartbeat heartbeat;
+    heartbeat.term = term;
+    heartbeat.highest_term = term;
+    heartbeat.weight = weight;
+    return heartbeat;
+}
+
+// Guards against executors without an owner, and against instances that take
+// the ownership from each other.
+class domain_ownership_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(domain_ownership_test);
+    CPPUNIT_TEST(largest_instance_claims);
+    CPPUNIT_TEST(silent_owner_is_succeeded_with_a_higher_term);
+    CPPUNIT_TEST(reset_connection_leaves_time_to_reconnect);
+    CPPUNIT_TEST(ended_process_is_succeeded_at_once);
+    CPPUNIT_TEST(leaving_owner_is_succeeded_before_it_ends);
+    CPPUNIT_TEST(lower_term_gives_up);
+    CPPUNIT_TEST(refused_claim_uses_a_later_term);
+    CPPUNIT_TEST(other_domains_do_not_matter);
+    CPPUNIT_TEST(tokens_rise_when_the_time_of_day_jumps_back);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        now_ = time_point{std::chrono::seconds{100}};
+    }
+
+    void largest_instance_claims()
+    {
+        domain_ownership small{key(1, 1), 90, now_};
+        domain_ownership large{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        small.heard(key(1, 2), large.heartbeat(0, {}), now_);
+        large.heard(key(1, 1), small.heartbeat(0, {}), now_);
+        CPPUNIT_ASSERT(!claims(small));
+        CPPUNIT_ASSERT(claims(large));
+    }
+
+    void silent_owner_is_succeeded_with_a_higher_term()
+    {
+        domain_ownership self{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        self.heard(key(1, 1), beat(unix_ms + 5000), now_);
+        CPPUNIT_ASSERT(!claims(self));
+        now_ += milliseconds{500};
+        CPPUNIT_ASSERT(claims(self));
+        CPPUNIT_ASSERT(self.term() > unix_ms + 5000);
+    }
+
+    void reset_connection_leaves_time_to_reconnect()
+    {
+        domain_ownership self{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        self.heard(key(1, 1), beat(unix_ms), now_);
+        self.lost(instance_id{1}, false, now_);
+        CPPUNIT_ASSERT(!claims(self));
+        now_ += milliseconds{150};
+        self.heard(key(1, 1), beat(unix_ms), now_);
+        now_ += milliseconds{150};
+        CPPUNIT_ASSERT(!claims(self));
+    }
+
+    void ended_process_is_succeeded_at_once()
+    {
+        domain_ownership self{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        self.heard(key(1, 1), beat(unix_ms), now_);
+        self.lost(instance_id{1}, true, now_);
+        CPPUNIT_ASSERT(claims(self));
+    }
+
+    void leaving_owner_is_succeeded_before_it_ends()
+    {
+        domain_ownership self{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        auto leaving = beat(unix_ms);
+        leaving.leaving = true;
+        self.heard(key(1, 1), leaving, now_);
+        CPPUNIT_ASSERT(claims(self));
+    }
+
+    void lower_term_gives_up()
+    {
+        domain_ownership self{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        CPPUNIT_ASSERT(claims(self));
+        self.heard(key(1, 1), beat(self.term() + 1), now_);
+        CPPUNIT_ASSERT(std::holds_alternative<give_up_ownership>(
+            self.decide(now_, unix_ms)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, self.term());
+    }
+
+    void refused_claim_uses_a_later_term()
+    {
+        domain_ownership self{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        CPPUNIT_ASSERT(claims(self));
+        auto const refused = self.term();
+        self.fenced(true, now_);
+        static_cast<void>(self.decide(now_, unix_ms));
+        CPPUNIT_ASSERT(claims(self));
+        CPPUNIT_ASSERT(self.term() > refused + 1000);
+    }
+
+    void other_domains_do_not_matter()
+    {
+        domain_ownership self{key(1, 2), 90, now_};
+        now_ += milliseconds{950};
+        self.heard(key(2, 1), beat(unix_ms + 1, 500), now_);
+        CPPUNIT_ASSERT(claims(self));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, self.owners(now_).size());
+    }
+
+    void tokens_rise_when_the_time_of_day_jumps_back()
+    {
+        domain_ownership self{key(1, 2), 250, now_};
+        now_ += milliseconds{950};
+        auto const first =
+            std::get<claim_ownership>(self.decide(now_, unix_ms));
+        self.fenced(false, now_);
+        static_cast<void>(self.decide(now_, unix_ms));
+        now_ += milliseconds{800};
+        auto const second =
+            std::get<claim_ownership>(self.decide(now_, unix_ms - 60'000));
+        CPPUNIT_ASSERT(second.token > first.token);
+    }
+
+private:
+    bool claims(domain_ownership& ownership) const
+    {
+        return std::holds_alternative<claim_ownership>(
+            ownership.decide(now_, unix_ms));
+    }
+
+    time_point now_;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(domain_ownership_test,
+                                      "domain_ownership");
+
+} // namespace
--- /dev/null
+++ b/tests/unit/job_gateway.cpp
@@ -0,0 +1,156 @@
+#include "goldcrestgate/core/leasing/job_gateway.hpp"
+#include "support/executor_fleet.hpp"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace goldcrestgate::core;
+using goldcrestgate::tests::make_leased_job;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t plenty = 1'000'000;
+
+owner_view owner(std::uint16_t domain, std::uint32_t instance,
+                 std::uint64_t term = 1)
+{
+    return {domain_id{domain}, instance_id{instance}, term, plenty, {}};
+}
+
+// Guards against callers that get no answer, two answers or a false one.
+class job_gateway_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(job_gateway_test);
+    CPPUNIT_TEST(own_domain_is_asked_first);
+    CPPUNIT_TEST(busy_domain_overflows);
+    CPPUNIT_TEST(rejected_job_is_offered_to_another_domain);
+    CPPUNIT_TEST(job_follows_the_successor);
+    CPPUNIT_TEST(job_of_a_lost_owner_is_never_called_rejected);
+    CPPUNIT_TEST(no_owner_is_a_rejection);
+    CPPUNIT_TEST(verdict_of_an_earlier_owner_is_ignored);
+    CPPUNIT_TEST(caller_that_left_is_withdrawn);
+    CPPUNIT_TEST(time_limit_ends_a_job);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        now_ = time_point{std::chrono::seconds{100}};
+        gateway_ = job_gateway{domain_id{1}};
+        out_.clear();
+    }
+
+    void own_domain_is_asked_first()
+    {
+        submit({owner(1, 11), owner(2, 21)});
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{11});
+    }
+
+    void busy_domain_overflows()
+    {
+        auto busy = owner(1, 11);
+        busy.expected_wait = milliseconds{80};
+        busy.free_millicores = 0;
+        submit({busy, owner(2, 21)});
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{21});
+    }
+
+    void rejected_job_is_offered_to_another_domain()
+    {
+        submit({owner(1, 11), owner(2, 21)});
+        give(11, job_outcome::rejected, {owner(1, 11), owner(2, 21)});
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{21});
+        CPPUNIT_ASSERT(!last<send_offer>().offer.resumed);
+        give(21, job_outcome::rejected, {owner(1, 11), owner(2, 21)});
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::rejected);
+    }
+
+    void job_follows_the_successor()
+    {
+        submit({owner(1, 11)});
+        gateway_.tick(std::vector{owner(1, 12, 2)}, now_, out_);
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{12});
+        CPPUNIT_ASSERT(last<send_offer>().offer.resumed);
+        give(12, job_outcome::completed, {owner(1, 12, 2)});
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::completed);
+    }
+
+    // A rejection says that the job never runs, which nobody knows here.
+    void job_of_a_lost_owner_is_never_called_rejected()
+    {
+        submit({owner(1, 11)});
+        gateway_.tick({}, now_, out_);
+        now_ += milliseconds{700};
+        gateway_.tick({}, now_, out_);
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::abandoned);
+    }
+
+    void no_owner_is_a_rejection()
+    {
+        submit({});
+        gateway_.tick({}, now_, out_);
+        now_ += milliseconds{700};
+        gateway_.tick({}, now_, out_);
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::rejected);
+        CPPUNIT_ASSERT(last<answer_job>().retry_after > duration{});
+    }
+
+    void verdict_of_an_earlier_owner_is_ignored()
+    {
+        submit({owner(1, 11)});
+        gateway_.tick(std::vector{owner(1, 12, 2)}, now_, out_);
+        auto const before = out_.size();
+        give(11, job_outcome::rejected, {owner(1, 12, 2)});
+        CPPUNIT_ASSERT_EQUAL(before, out_.size());
+    }
+
+    void caller_that_left_is_withdrawn()
+    {
+        submit({owner(1, 11)});
+        gateway_.caller_gone(request_id{1}, out_);
+        CPPUNIT_ASSERT(last<send_withdrawal>().owner == instance_id{11});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway_.open_jobs());
+    }
+
+    void time_limit_ends_a_job()
+    {
+        submit({owner(1, 11)});
+        now_ += milliseconds{1500};
+        gateway_.tick(std::vector{owner(1, 11)}, now_, out_);
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::abandoned);
+    }
+
+private:
+    void submit(std::vector<owner_view> const& owners)
+    {
+        gateway_.submit(request_id{1}, make_leased_job(7, 2, milliseconds{60}),
+                        owners, now_, out_);
+    }
+
+    void give(std::uint32_t from, job_outcome outcome,
+              std::vector<owner_view> const& owners)
+    {
+        gateway_.verdict(instance_id{from},
+                         {client_job_id{7}, outcome, std::chrono::seconds{1}},
+                         owners, now_, out_);
+    }
+
+    template <typename Action>
+    Action const& last() const
+    {
+        CPPUNIT_ASSERT(!out_.empty());
+        auto const* const found = std::get_if<Action>(&out_.back());
+        CPPUNIT_ASSERT(found != nullptr);
+        return *found;
+    }
+
+    time_point now_;
+    job_gateway gateway_{domain_id{1}};
+    std::vector<gateway_action> out_;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(job_gateway_test, "job_gateway");
+
+} // namespace
