Claim executors sooner after a start of all instances

Change: an instance claims 250 ms after its start; a job that has not started waits a quarter of its objective for an owner.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -86,7 +86,7 @@
     void use_configuration(std::string const& document, bool pass_on);
     [[nodiscard]] topic_sinks
     sinks_of(std::string_view name,
-             std::function<void(adapter::topic_page const&)> changed);
+             std::function<void(adapter::topic_page const&)> const& changed);
     [[nodiscard]] topic_sinks executor_sinks();
 
     // time
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -253,7 +253,7 @@
 
 topic_sinks entry_instance::sinks_of(
     std::string_view name,
-    std::function<void(adapter::topic_page const&)> changed)
+    std::function<void(adapter::topic_page const&)> const& changed)
 {
     return {changed, changed,
             [this, name](core::error const& failure)
--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -16,9 +16,10 @@
 /// process lives.
 constexpr duration reconnect_time = std::chrono::milliseconds{200};
 
-/// A new instance first listens for an owner this long: instances start within
-/// 300 ms of each other and find each other through the platform.
-constexpr duration first_claim_delay = std::chrono::milliseconds{900};
+/// A new instance first listens for an owner this long: it needs about 50 ms to
+/// find the others through the platform, and their heartbeats come every
+/// 100 ms. After a loss of all instances the delay adds to the outage.
+constexpr duration first_claim_delay = std::chrono::milliseconds{250};
 
 /// An owner whose token was refused waits this long for a sign of the other.
 constexpr duration fence_pause = std::chrono::milliseconds{700};
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -12,10 +12,14 @@
 /// than this; the way there and back takes a few milliseconds.
 constexpr duration overflow_margin = std::chrono::milliseconds{10};
 
-/// Time that a job waits for an owner to be known: a successor takes over
-/// within half a second of a loss.
+/// Time that a job which may have started waits for a successor of its owner,
+/// which takes over within half a second of a loss.
 constexpr duration owner_patience = std::chrono::milliseconds{600};
 
+/// Part of its objective that a job which has not started waits for an owner;
+/// after a longer wait it would hardly end in time.
+constexpr int objective_parts = 4;
+
 /// Time after which a caller is asked to return when no owner is known.
 constexpr duration no_owner_retry = std::chrono::seconds{1};
 
@@ -219,8 +223,12 @@
     for (auto& [id, open] : jobs_)
     {
         follow_owner(open, owners, now, out);
+        auto const patience =
+            open.resumed ? owner_patience
+                         : std::min(owner_patience,
+                                    open.job.objective / objective_parts);
         bool const forsaken = open.without_owner_since &&
-                              now - *open.without_owner_since > owner_patience;
+                              now - *open.without_owner_since > patience;
         if (forsaken)
         {
             ended.push_back(
