Pass a configuration on only to instances that lag

Ruled out: the size of the configuration itself; each instance reads it once. Change: heartbeats name the configuration in force; the owner of a failure domain sends it to an instance that lags for 500 ms, and owners send it to each other. 2 MB at most wait for a peer. Test: each_instance_reads_the_configuration (real processes).

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -78,12 +78,15 @@
     void send(core::instance_id peer, core::peer_message message);
     void send_heartbeats();
     void send_roster();
+    void pass_configuration(core::instance_key const& peer,
+                            core::owner_heartbeat const& heartbeat);
 
     // the platform
     void watch_platform();
     void announce();
     void on_configuration(adapter::topic_page const& page);
-    void use_configuration(std::string const& document, bool pass_on);
+    void use_configuration(std::string const& document,
+                           std::string_view source);
     [[nodiscard]] topic_sinks
     sinks_of(std::string_view name,
              std::function<void(adapter::topic_page const&)> const& changed);
@@ -105,6 +108,8 @@
 
     core::route_table routes_;
     std::string configuration_;
+    core::time_point configuration_since_{};
+    std::map<core::instance_id, core::time_point> configuration_sent_;
     core::domain_ownership ownership_;
     core::job_gateway gateway_;
     core::job_scheduler scheduler_;
--- a/include/goldcrestgate/app/entry/topic_watch.hpp
+++ b/include/goldcrestgate/app/entry/topic_watch.hpp
@@ -63,7 +63,6 @@
     void on_result(adapter::topic_result const& result);
     void on_failure(core::error const& failure);
 
-    io::event_loop& loop_;
     adapter::store_client& store_;
     adapter::topic topic_;
     topic_pace pace_;
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -69,6 +69,8 @@
     std::uint32_t free_millicores = 0;
     /// Wait that a new task would have.
     duration expected_wait{};
+    /// The configuration that is in force at the instance; 0 without one.
+    std::uint64_t configuration_version = 0;
 };
 
 /// @brief The executors that an owner uses, for its successor.
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -2559,7 +2559,8 @@
     VT_WEIGHT = 8,
     VT_LEAVING = 10,
     VT_FREE_MILLICORES = 12,
-    VT_EXPECTED_WAIT_US = 14
+    VT_EXPECTED_WAIT_US = 14,
+    VT_CONFIGURATION_VERSION = 16
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -2579,6 +2580,9 @@
   int64_t expected_wait_us() const {
     return GetField<int64_t>(VT_EXPECTED_WAIT_US, 0);
   }
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -2587,6 +2591,7 @@
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<uint32_t>(verifier, VT_FREE_MILLICORES, 4) &&
            VerifyField<int64_t>(verifier, VT_EXPECTED_WAIT_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -2613,6 +2618,9 @@
   void add_expected_wait_us(int64_t expected_wait_us) {
     fbb_.AddElement<int64_t>(OwnerHeartbeat::VT_EXPECTED_WAIT_US, expected_wait_us, 0);
   }
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(OwnerHeartbeat::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
   explicit OwnerHeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2631,8 +2639,10 @@
     uint32_t weight = 0,
     bool leaving = false,
     uint32_t free_millicores = 0,
-    int64_t expected_wait_us = 0) {
+    int64_t expected_wait_us = 0,
+    uint64_t configuration_version = 0) {
   OwnerHeartbeatBuilder builder_(_fbb);
+  builder_.add_configuration_version(configuration_version);
   builder_.add_expected_wait_us(expected_wait_us);
   builder_.add_highest_term(highest_term);
   builder_.add_term(term);
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -43,6 +43,10 @@
 constexpr core::duration peer_connect_timeout = std::chrono::milliseconds{400};
 constexpr core::duration longest_peer_pause = std::chrono::milliseconds{800};
 
+/// Bytes that may wait for a peer: some large configurations. Small instances
+/// have 120 MB in all and 40 peers.
+constexpr std::size_t peer_write_limit_bytes = std::size_t{2} * 1024 * 1024;
+
 constexpr double weight_per_core = 1000.0;
 
 std::map<std::string, core::domain_id, std::less<>>
@@ -124,7 +128,8 @@
     , peers_(
           loop, core::hello{self_, settings.peers_address},
           {.connect_timeout = peer_connect_timeout,
-           .longest_pause = longest_peer_pause},
+           .longest_pause = longest_peer_pause,
+           .write_limit_bytes = peer_write_limit_bytes},
           [this](core::event event)
           {
               on_peer_event(std::move(event));
@@ -325,13 +330,13 @@
     {
         if (record.key == adapter::configuration_key && record.value)
         {
-            use_configuration(*record.value, true);
+            use_configuration(*record.value, "store");
         }
     }
 }
 
 void entry_instance::use_configuration(std::string const& document,
-                                       bool pass_on)
+                                       std::string_view source)
 {
     auto table = adapter::decode_configuration(document);
     if (!table)
@@ -349,17 +354,10 @@
             .number("version", static_cast<std::int64_t>(table->version))
             .number("earlier", static_cast<std::int64_t>(routes_.version))
             .number("routes", static_cast<std::int64_t>(table->routes.size()))
-            .text("source", pass_on ? "store" : "peer"));
+            .text("source", source));
     routes_ = std::move(*table);
     configuration_ = document;
-    if (!pass_on)
-    {
-        return;
-    }
-    for (auto const& [id, key] : connected_)
-    {
-        send(id, core::published_configuration{routes_.version, document});
-    }
+    configuration_since_ = loop_.now();
 }
 
 // --- the core's actions ---
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -17,6 +17,12 @@
 template <typename... Functions>
 overloaded(Functions...) -> overloaded<Functions...>;
 
+/// Time in which an instance that reaches the store reads a new configuration.
+constexpr core::duration own_read_time = std::chrono::milliseconds{500};
+
+/// Pause before a configuration is sent to the same instance again.
+constexpr core::duration resend_pause = std::chrono::milliseconds{1500};
+
 } // namespace
 
 void entry_instance::connect(std::string_view peer_address)
@@ -43,14 +49,37 @@
 void entry_instance::send_heartbeats()
 {
     auto const load = scheduler_.load(loop_.now());
-    auto const beat =
-        ownership_.heartbeat(load.free_millicores, load.expected_wait);
+    auto beat = ownership_.heartbeat(load.free_millicores, load.expected_wait);
+    beat.configuration_version = routes_.version;
     for (auto const& [id, key] : connected_)
     {
         send(id, beat);
     }
 }
 
+// Each instance reads the configuration itself. One that lags, as it does not
+// reach the store, gets it from the owner of its failure domain, and owners
+// get it from each other: a large configuration sent by all to all would fill
+// the links of small instances.
+void entry_instance::pass_configuration(core::instance_key const& peer,
+                                        core::owner_heartbeat const& heartbeat)
+{
+    auto const now = loop_.now();
+    bool const lags = heartbeat.configuration_version < routes_.version &&
+                      now - configuration_since_ >= own_read_time;
+    bool const responsible =
+        scheduler_.owns() ? peer.domain == self_.domain || heartbeat.term != 0
+                          : ownership_.owners(now).empty();
+    auto& sent_at = configuration_sent_[peer.instance];
+    if (!lags || !responsible || now - sent_at < resend_pause)
+    {
+        return;
+    }
+    sent_at = now;
+    send(peer.instance,
+         core::published_configuration{routes_.version, configuration_});
+}
+
 // Sent before a new executor is used, to those that may succeed.
 void entry_instance::send_roster()
 {
@@ -121,15 +150,8 @@
     }
     addresses.addresses.push_back(settings_.peers_address);
     send(peer.instance, std::move(addresses));
-    if (routes_.version != 0)
-    {
-        send(peer.instance,
-             core::published_configuration{routes_.version, configuration_});
-    }
     roster_changed_ = roster_changed_ || peer.domain == self_.domain;
-    auto const load = scheduler_.load(loop_.now());
-    send(peer.instance,
-         ownership_.heartbeat(load.free_millicores, load.expected_wait));
+    send_heartbeats();
 }
 
 void entry_instance::on_message(core::instance_key const& from,
@@ -141,6 +163,7 @@
             [&](core::owner_heartbeat const& heartbeat)
             {
                 ownership_.heard(from, heartbeat, now);
+                pass_configuration(from, heartbeat);
                 if (from.domain == self_.domain)
                 {
                     last_owner_term_ =
@@ -184,7 +207,7 @@
             {
                 if (published.version > routes_.version)
                 {
-                    use_configuration(published.document, false);
+                    use_configuration(published.document, "peer");
                 }
             },
             [&](auto const&)
--- a/src/app/entry/topic_watch.cpp
+++ b/src/app/entry/topic_watch.cpp
@@ -23,8 +23,7 @@
 topic_watch::topic_watch(io::event_loop& loop, adapter::store_client& store,
                          adapter::topic topic, topic_pace pace,
                          topic_sinks sinks)
-    : loop_(loop)
-    , store_(store)
+    : store_(store)
     , topic_(topic)
     , pace_(pace)
     , sinks_(std::move(sinks))
--- a/src/wire/frame_decoder.cpp
+++ b/src/wire/frame_decoder.cpp
@@ -376,6 +376,7 @@
     message.leaving = source.leaving();
     message.free_millicores = source.free_millicores();
     message.expected_wait = core::duration{source.expected_wait_us()};
+    message.configuration_version = source.configuration_version();
     return message;
 }
 
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -311,10 +311,12 @@
 
 encoded_message encode(builder& out, core::owner_heartbeat const& message)
 {
-    auto const& [term, highest_term, weight, leaving, free, wait] = message;
+    auto const& [term, highest_term, weight, leaving, free, wait,
+                 configuration] = message;
     return {detail::Message::OwnerHeartbeat,
             detail::CreateOwnerHeartbeat(out, term, highest_term, weight,
-                                         leaving, free, wait.count())
+                                         leaving, free, wait.count(),
+                                         configuration)
                 .Union()};
 }
 
--- a/tests/failure/test_leased_executors.py
+++ b/tests/failure/test_leased_executors.py
@@ -15,6 +15,7 @@
     with LeasedSystem(build_dir) as running:
         answers_what_it_is_asked(running)
         serves_without_the_store(running)
+        each_instance_reads_the_configuration(running)
         planned_stop_cuts_off_nothing(running)
     with LeasedSystem(build_dir) as running:
         successor_adopts_runs(running)
@@ -60,6 +61,19 @@
                            for i in running.instances), "new configuration")
 
 
+def each_instance_reads_the_configuration(running):
+    """A configuration that all send to all fills the links of small instances
+    (solis-sched-grown scale-2, 1,236 routes)."""
+    running.publish(3, 1500)
+    wait_until(lambda: all(i.metric("configuration_version") == 3
+                           for i in running.instances), "new configuration")
+    for instance in running.instances:
+        lines = [line for line in instance.process.output().splitlines()
+                 if '"configuration_in_force"' in line and
+                 '"version":3' in line]
+        assert len(lines) == 1 and '"source":"store"' in lines[0], lines
+
+
 def planned_stop_cuts_off_nothing(running):
     owner = running.owner()
     other = next(i for i in running.instances if i is not owner)
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -90,7 +90,7 @@
         core::job_verdict{core::client_job_id{28}, core::job_outcome::rejected,
                           std::chrono::seconds{2}},
         core::owner_heartbeat{29, 30, 31, true, 32,
-                              std::chrono::milliseconds{33}},
+                              std::chrono::milliseconds{33}, 38},
         core::peer_addresses{{"127.0.0.1:9101", "127.0.0.1:9102"}},
         core::published_configuration{34, "{\"version\":34}"},
         core::executor_roster{35,
