--- a/tests/failure/harness/leased.py
+++ b/tests/failure/harness/leased.py
@@ -313,10 +313,17 @@
     def __enter__(self):
         for instance in self.instances:
             instance.start()
-        wait_until(lambda: all(i.ready() for i in self.instances), "readiness")
-        wait_until(lambda: self.owner() is not None and
-                   self.owner().metric("executors_claimed") ==
-                   len(self.executors), "claimed executors")
+        try:
+            wait_until(lambda: all(i.ready() for i in self.instances),
+                       "readiness")
+            wait_until(lambda: self.owner() is not None and
+                       self.owner().metric("executors_claimed") ==
+                       len(self.executors), "claimed executors")
+        except TimeoutError:
+            # The logs are removed at the end, and nothing else shows why.
+            for instance in self.instances:
+                print(instance.name, instance.process.output()[-4000:])
+            raise
         return self
 
     def __exit__(self, *_):
