--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -193,6 +193,10 @@
     void offer(instance_id origin, job_offer const& offered,
                scheduler_turn& turn);
     void place_waiting(scheduler_turn& turn);
+    void place_job(job_record& job, double fastest, scheduler_turn& turn);
+    /// Returns false if no executor suits the task now.
+    [[nodiscard]] bool place_task(job_record& job, leased_task const& key,
+                                  double fastest, scheduler_turn& turn);
     void close(client_job_id id, job_outcome outcome, duration retry_after,
                std::string_view reason, scheduler_turn& turn);
     void task_ended(executor_record& executor, run_record const& run,
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -322,64 +322,82 @@
     }
     auto const [fastest, slowest] = slowdown_range(turn.now);
     std::ranges::sort(order, serving_order{turn.now, slowest});
-    std::vector<placement_candidate> candidates;
     for (auto* const job : order)
     {
-        for (std::uint16_t g = 0; g < job->groups.size(); ++g)
+        place_job(*job, fastest, turn);
+    }
+}
+
+void scheduler_state::place_job(job_record& job, double fastest,
+                                scheduler_turn& turn)
+{
+    for (std::size_t group = 0; group < job.groups.size(); ++group)
+    {
+        auto const& tasks = job.groups[group].tasks;
+        for (std::size_t index = 0; index < tasks.size(); ++index)
         {
-            auto const& wanted = job->job.groups[g];
-            auto& group = job->groups[g];
-            for (std::uint16_t t = 0; t < group.tasks.size(); ++t)
+            if (tasks[index].phase != task_phase::waiting)
+            {
+                continue;
+            }
+            leased_task const task{job.job.id,
+                                   static_cast<std::uint16_t>(group),
+                                   static_cast<std::uint16_t>(index)};
+            // The tasks of a group are equal, so the others find none either.
+            if (!place_task(job, task, fastest, turn))
             {
-                auto& task = group.tasks[t];
-                if (task.phase != task_phase::waiting)
-                {
-                    continue;
-                }
-                candidates.clear();
-                for (auto& [id, executor] : executors)
-                {
-                    if (!accepts(executor, turn.now) ||
-                        executor.description.service != job->job.service ||
-                        !has_label(executor.description,
-                                   wanted.required_label) ||
-                        (task.failed_on == id && executors.size() > 1))
-                    {
-                        continue;
-                    }
-                    auto free = executor.description.capacity;
-                    free -= executor.used;
-                    candidates.push_back({id, free, speeds.slowdown(id)});
-                }
-                auto const choice = choose_executor(
-                    candidates, wanted.each_task,
-                    {wanted.estimate, job->due - turn.now,
-                     job->limit - turn.now,
-                     turn.now - (job->limit - job->job.time_limit), fastest});
-                if (!choice)
-                {
-                    break;
-                }
-                scheduling_note note{.event = "task_placed",
-                                     .job = job->job.id,
-                                     .executor = choice->executor};
-                note.reason =
-                    choice->reason == placement_reason::meets_objective
-                        ? "meets_objective"
-                        : "earliest_finish";
-                note.run =
-                    task_run{{job->job.id, g, t}, task.last_execution + 1};
-                note.slack = job->due - turn.now;
-                note.run_time = choice->expected_run;
-                note.count = choice->candidates;
-                turn.out.emplace_back(note);
-                start(*job, g, t, executors.at(choice->executor),
-                      choice->expected_run, turn);
+                break;
             }
         }
     }
 }
 
+bool scheduler_state::place_task(job_record& job, leased_task const& key,
+                                 double fastest, scheduler_turn& turn)
+{
+    auto const& wanted = job.job.groups[key.group];
+    auto const& task = job.groups[key.group].tasks[key.index];
+    std::vector<placement_candidate> candidates;
+    for (auto& [id, executor] : executors)
+    {
+        if (!accepts(executor, turn.now) ||
+            executor.description.service != job.job.service ||
+            !has_label(executor.description, wanted.required_label) ||
+            (task.failed_on == id && executors.size() > 1))
+        {
+            continue;
+        }
+        auto free = executor.description.capacity;
+        free -= executor.used;
+        candidates.push_back({id, free, speeds.slowdown(id)});
+    }
+    placement_times times;
+    times.estimate = wanted.estimate;
+    times.to_objective = job.due - turn.now;
+    times.to_limit = job.limit - turn.now;
+    times.waited = turn.now - (job.limit - job.job.time_limit);
+    times.fastest_slowdown = fastest;
+    auto const choice = choose_executor(candidates, wanted.each_task, times);
+    if (!choice)
+    {
+        return false;
+    }
+    scheduling_note note{.event = "task_placed",
+                         .job = key.job,
+                         .run = task_run{key, task.last_execution + 1},
+                         .executor = choice->executor};
+    note.reason = choice->reason == placement_reason::meets_objective
+                      ? "meets_objective"
+                      : "earliest_finish";
+    note.slack = times.to_objective;
+    note.run_time = choice->expected_run;
+    note.count = choice->candidates;
+    turn.out.emplace_back(note);
+    start(job, key.group, key.index, executors.at(choice->executor),
+          choice->expected_run, turn);
+    return true;
+}
+
 // --- ends ---
 
 void scheduler_state::close(client_job_id id, job_outcome outcome,
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -195,7 +195,7 @@
     return order_outcome::accepted;
 }
 
-void executor_fleet::order(start_run const& order, start_sink answer)
+void executor_fleet::order(start_run const& order, start_sink const& answer)
 {
     auto& host = machines_.at(order.executor);
     auto const silent = [this, order, answer]
@@ -238,7 +238,7 @@
           });
 }
 
-void executor_fleet::order(stop_run const& order, start_sink answer)
+void executor_fleet::order(stop_run const& order, start_sink const& answer)
 {
     auto& host = machines_.at(order.executor);
     if (loses_order() || host.behaviour.unreachable)
@@ -322,7 +322,7 @@
     return answer;
 }
 
-void executor_fleet::order(hold_executor const& order, hold_sink answer)
+void executor_fleet::order(hold_executor const& order, hold_sink const& answer)
 {
     auto& host = machines_.at(order.executor);
     auto const done = std::make_shared<bool>(false);
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -56,9 +56,9 @@
     /// @brief Sets the true work of a job's tasks.
     void set_work(core::client_job_id job, core::duration work);
 
-    void order(core::start_run const& order, start_sink answer);
-    void order(core::stop_run const& order, start_sink answer);
-    void order(core::hold_executor const& order, hold_sink answer);
+    void order(core::start_run const& order, start_sink const& answer);
+    void order(core::stop_run const& order, start_sink const& answer);
+    void order(core::hold_executor const& order, hold_sink const& answer);
 
     /// @brief Calls a function later.
     void after(core::duration delay, std::function<void()> work);
