Keep one copy of the scaling of times and of the fencing of an executor

Cause: three files of core/leasing had the same function to scale a duration, and the steps after a refusal as fenced stood in three places; a counter of attempts was written and never read. Change: detail/scale_duration.hpp and fence_executor; the counter is gone. No change of behaviour, tests untouched.

--- /dev/null
+++ b/include/goldcrestgate/core/leasing/detail/scale_duration.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "goldcrestgate/core/time.hpp"
+
+#include <cmath>
+
+namespace goldcrestgate::core::detail
+{
+
+/// @brief Multiplies a span of time by a factor, rounded to microseconds.
+/// @pre the product fits into a duration
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] inline duration scale_duration(duration span, double factor)
+{
+    return duration{std::llround(static_cast<double>(span.count()) * factor)};
+}
+
+} // namespace goldcrestgate::core::detail
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -120,7 +120,6 @@
 {
     task_phase phase = task_phase::blocked;
     std::uint16_t failures = 0;
-    std::uint16_t attempts = 0;
     std::uint32_t last_execution = 0;
     std::optional<executor_id> failed_on;
 };
@@ -229,6 +228,8 @@
                                              time_point sent_at);
     void note_clock(executor_record& executor,
                     std::optional<executor_clock> clock, time_point now) const;
+    /// The executor has seen a higher token than the own one.
+    void fence_executor(executor_record& executor, scheduler_turn& turn);
     void lose_executor(executor_record& executor, std::string_view reason,
                        scheduler_turn& turn);
     void remove_run(executor_record& executor, task_run const& run);
--- a/src/core/leasing/placement.cpp
+++ b/src/core/leasing/placement.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/core/leasing/placement.hpp"
 
+#include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
+
 #include <cmath>
 
 namespace goldcrestgate::core
@@ -12,11 +14,6 @@
 /// executors differ by a few percent.
 constexpr double equal_speed_tolerance = 0.08;
 
-duration scale(duration span, double factor)
-{
-    return duration{std::llround(static_cast<double>(span.count()) * factor)};
-}
-
 bool is_tighter(placement_candidate const& left,
                 placement_candidate const& right)
 {
@@ -40,7 +37,8 @@
 
 bool needs_fast_executor(placement_times const& times, double slowest_slowdown)
 {
-    return scale(times.estimate, slowest_slowdown * limit_margin) >
+    return detail::scale_duration(times.estimate,
+                                  slowest_slowdown * limit_margin) >
            times.to_limit;
 }
 
@@ -50,7 +48,7 @@
 {
     auto const run_time = [&times](double slowdown, double margin)
     {
-        return scale(times.estimate, slowdown * margin);
+        return detail::scale_duration(times.estimate, slowdown * margin);
     };
     placement_candidate const* best = nullptr;
     bool best_meets = false;
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestgate/core/leasing/admission.hpp"
+#include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
 
@@ -40,11 +41,6 @@
 /// Share of an executor that tasks of usual sizes fill.
 constexpr double usable_share = 0.85;
 
-duration scale(duration span, double factor)
-{
-    return duration{std::llround(static_cast<double>(span.count()) * factor)};
-}
-
 double cpu_work(task_group const& group)
 {
     return static_cast<double>(group.estimate.count()) / 1e6 *
@@ -260,7 +256,7 @@
     admission_input input;
     input.time_to_objective = job.due - turn.now;
     input.time_to_limit = job.limit - turn.now;
-    input.fastest_run = scale(job.chain, fastest * hopeless_margin);
+    input.fastest_run = scale_duration(job.chain, fastest * hopeless_margin);
     input.work_ahead =
         waiting_work({turn.now, latest_start(job), slowest, restricted});
     input.own_work = own_work;
@@ -528,7 +524,6 @@
     note.count = ++task.failures;
     turn.out.emplace_back(note);
     task.failed_on = executor.id;
-    ++task.attempts;
     if (task.failures >= job.job.max_attempts)
     {
         close(run.run.task.job, job_outcome::failed, {}, "attempts_used", turn);
@@ -552,7 +547,7 @@
             adopt_runs(job, turn);
         }
         auto const finish =
-            turn.now + scale(job.chain, fastest * hopeless_margin);
+            turn.now + scale_duration(job.chain, fastest * hopeless_margin);
         if (job.unwanted_at && *job.unwanted_at <= turn.now)
         {
             ended.emplace_back(id, "caller_left");
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
 #include <algorithm>
@@ -53,16 +54,11 @@
 /// An executor that is missing from the list this long gets no more holds.
 constexpr duration unlisted_patience = std::chrono::seconds{5};
 
-duration scale(duration span, double factor)
-{
-    return duration{std::llround(static_cast<double>(span.count()) * factor)};
-}
-
 } // namespace
 
 duration scheduler_state::lapse_time() const
 {
-    return scale(limits.longest_lease, clock_drift) + lapse_margin;
+    return scale_duration(limits.longest_lease, clock_drift) + lapse_margin;
 }
 
 bool scheduler_state::claims_settled(time_point now) const
@@ -116,9 +112,7 @@
     {
         if (is_latest)
         {
-            executor.fenced = true;
-            fenced = true;
-            lose_executor(executor, "fenced", turn);
+            fence_executor(executor, turn);
         }
         return;
     }
@@ -252,7 +246,7 @@
                 executor.used += run.amounts;
             }
             run.estimate = duration{};
-            run.expected = scale(wanted.estimate, speeds.slowdown(id));
+            run.expected = scale_duration(wanted.estimate, speeds.slowdown(id));
             scheduling_note note{.event = "run_adopted",
                                  .job = job.job.id,
                                  .run = run.run,
@@ -305,7 +299,7 @@
     {
         // The listed figure is rounded, so the true one is up to 1 higher.
         auto const total =
-            scale(turn.now - run->sent_at, 100.0 / (progress + 1.0));
+            scale_duration(turn.now - run->sent_at, 100.0 / (progress + 1.0));
         run->ends_at = run->sent_at + total;
     }
 }
@@ -333,7 +327,7 @@
                 run.expected >= long_run && now - run.sent_at >= first_look &&
                 run.progress_percent < settled_progress_percent;
             auto const end = run.ends_at.value_or(
-                run.sent_at + scale(run.expected, usual_excess));
+                run.sent_at + scale_duration(run.expected, usual_excess));
             return progress_unknown || now > end + first_look;
         });
 }
@@ -349,10 +343,10 @@
     if (run.ends_at)
     {
         return run.listed_at >
-               *run.ends_at + scale(run.expected, 0.5) + stall_margin;
+               *run.ends_at + scale_duration(run.expected, 0.5) + stall_margin;
     }
     return run.listed_at - std::max(run.sent_at, run.progress_at) >
-           scale(run.expected, stall_factor) + stall_margin;
+           scale_duration(run.expected, stall_factor) + stall_margin;
 }
 
 bool scheduler_state::faster_elsewhere(executor_record const& executor,
@@ -369,7 +363,8 @@
             auto const& [id, other] = entry;
             auto free = other.description.capacity;
             free -= other.used;
-            auto const there = scale(total, speeds.slowdown(id) / here);
+            auto const there =
+                scale_duration(total, speeds.slowdown(id) / here);
             return id != executor.id && accepts(other, now) &&
                    other.description.service == job.job.service &&
                    run.amounts.fits_into(free) && now + there < job.limit;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -183,9 +183,7 @@
     switch (answer.outcome)
     {
     case order_outcome::fenced:
-        executor.fenced = true;
-        fenced = true;
-        lose_executor(executor, "fenced", turn);
+        fence_executor(executor, turn);
         return;
     case order_outcome::other_incarnation:
         lose_executor(executor, "restarted", turn);
@@ -250,9 +248,7 @@
         run->stop_due = turn.now + limits.stop_time;
         return;
     case order_outcome::fenced:
-        executor.fenced = true;
-        fenced = true;
-        lose_executor(executor, "fenced", turn);
+        fence_executor(executor, turn);
         return;
     case order_outcome::other_incarnation:
         lose_executor(executor, "restarted", turn);
@@ -263,6 +259,14 @@
     }
 }
 
+void scheduler_state::fence_executor(executor_record& executor,
+                                     scheduler_turn& turn)
+{
+    executor.fenced = true;
+    fenced = true;
+    lose_executor(executor, "fenced", turn);
+}
+
 // After a restart nothing runs there. After a refusal as fenced another owner
 // may keep the runs alive, so they stay known until the executor is claimed
 // again or the ownership is given up.
