Place tasks by rack, limit per executor and service; give test processes their own addresses

Cause: the rack of a task's data and the limit of tasks on one executor were decoded and sent, and decided nothing; a task away from its data taught the speed model that the executor is half as fast. Speeds, room and waiting work were taken over all services together. The candidates of a placement were collected for each task of a group.

Change: rack factor (setting, given by the platform) in placement and in what is learned of speeds; limit and label in the choice of candidates; all sums by service; the order of waiting jobs is a part of its own. Test processes use loopback addresses of their own, and an instance that has ended is reported at once with its output; failure.harness checks both.

--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -38,6 +38,8 @@
     // executors
     core::duration longest_lease{};
     core::duration stop_time{};
+    /// How many times longer a task takes away from the rack of its data.
+    double remote_rack_factor = 0;
 
     // callers
     core::duration resubmission_delay{};
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "goldcrestgate/core/leasing/admission.hpp"
 #include "goldcrestgate/core/leasing/executor_health.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
+#include "goldcrestgate/core/leasing/placement.hpp"
 #include "goldcrestgate/core/leasing/scheduler_actions.hpp"
 #include "goldcrestgate/core/leasing/speed_model.hpp"
 
@@ -25,6 +27,8 @@
     /// After this time a caller that lost its connection may come again at
     /// any instance.
     duration resubmission_delay = std::chrono::milliseconds{1300};
+    /// How many times longer a task takes away from the rack of its data.
+    double remote_rack_factor = 2.0;
 };
 
 namespace detail
@@ -55,6 +59,8 @@
     task_run run;
     run_phase phase = run_phase::starting;
     resource_amounts amounts;
+    /// The run time expected on an executor of average speed; 0 for a run
+    /// whose start was not seen, which says nothing of the executor's speed.
     duration estimate{};
     duration expected{};
     time_point sent_at{};
@@ -158,6 +164,8 @@
 /// @brief Which waiting work is counted.
 struct waiting_scope
 {
+    /// Empty for all services.
+    std::string_view service;
     time_point now;
     /// Work that must begin until then.
     time_point before;
@@ -166,6 +174,14 @@
     bool only_restricted = false;
 };
 
+/// @brief The least and the greatest slowdown of the usable executors; 1 if
+/// there are none.
+struct slowdown_range
+{
+    double fastest = 1.0;
+    double slowest = 1.0;
+};
+
 /// @brief The state of a @ref job_scheduler and what its parts share.
 class scheduler_state
 {
@@ -193,9 +209,17 @@
                scheduler_turn& turn);
     void place_waiting(scheduler_turn& turn);
     void place_job(job_record& job, double fastest, scheduler_turn& turn);
-    /// Returns false if no executor suits the task now.
-    [[nodiscard]] bool place_task(job_record& job, leased_task const& key,
-                                  double fastest, scheduler_turn& turn);
+    void place_group(job_record& job, std::uint16_t group, double fastest,
+                     scheduler_turn& turn);
+    [[nodiscard]] std::vector<placement_candidate>
+    find_candidates(job_record const& job, std::uint16_t group,
+                    time_point now) const;
+    static void note_placement(job_record const& job, leased_task const& task,
+                               placement_choice const& choice,
+                               scheduler_turn& turn);
+    /// How many times longer a task of the group takes in the executor's rack.
+    [[nodiscard]] double rack_factor(executor_description const& description,
+                                     task_group const& group) const;
     void close(client_job_id id, job_outcome outcome, duration retry_after,
                std::string_view reason, scheduler_turn& turn);
     void task_ended(executor_record& executor, run_record const& run,
@@ -204,16 +228,27 @@
     void blame(executor_record& executor, task_record& task, time_point now);
     void expire_jobs(scheduler_turn& turn);
     [[nodiscard]] std::size_t waiting_tasks() const;
+
+    // admission; an empty service stands for all services
+    [[nodiscard]] admission_verdict judge_admission(job_record const& job,
+                                                    time_point now) const;
+    [[nodiscard]] bool serves(executor_record const& executor,
+                              std::string_view service, time_point now) const;
     /// Room of the executors up to a slowdown, as that of executors whose run
     /// times equal the estimates.
-    [[nodiscard]] double usable_millicores(time_point now,
+    [[nodiscard]] double usable_millicores(std::string_view service,
+                                           time_point now,
                                            double slowest) const;
     /// CPU time of waiting tasks in millicore-seconds.
     [[nodiscard]] double waiting_work(waiting_scope const& scope) const;
-    [[nodiscard]] duration expected_wait(time_point now) const;
-    /// The least and the greatest slowdown of the usable executors.
-    [[nodiscard]] std::pair<double, double>
-    slowdown_range(time_point now) const;
+    [[nodiscard]] duration expected_wait(std::string_view service,
+                                         time_point now) const;
+    [[nodiscard]] slowdown_range slowdowns(std::string_view service,
+                                           time_point now) const;
+    /// The moment at which the job must begin to meet its objective.
+    [[nodiscard]] static time_point latest_start(job_record const& job);
+    [[nodiscard]] static bool needs_fast(job_record const& job, time_point now,
+                                         double slowest);
 
     // runs and orders
     void start(job_record& job, std::uint16_t group, std::uint16_t index,
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -109,6 +109,12 @@
 
     [[nodiscard]] scheduler_load load(time_point now) const;
 
+    /// @brief Returns run time divided by estimated run time, as learned.
+    [[nodiscard]] double slowdown(executor_id executor) const
+    {
+        return state_.speeds.slowdown(executor);
+    }
+
 private:
     detail::scheduler_state state_;
 };
--- a/include/goldcrestgate/core/leasing/placement.hpp
+++ b/include/goldcrestgate/core/leasing/placement.hpp
@@ -2,6 +2,8 @@
 
 #include "goldcrestgate/core/leasing/executor.hpp"
 
+#include <cstddef>
+#include <limits>
 #include <optional>
 #include <span>
 
@@ -15,6 +17,8 @@
     resource_amounts free;
     /// Run time here divided by the estimated run time.
     double slowdown = 1.0;
+    /// Tasks of the group that may still be started here.
+    std::size_t places_left = std::numeric_limits<std::size_t>::max();
 };
 
 /// @brief Why an executor was chosen.
@@ -52,6 +56,14 @@
     double fastest_slowdown = 1.0;
 };
 
+/// @brief A task that is to be placed.
+struct placement_request : placement_times
+{
+    resource_amounts demand;
+    /// An executor on which the task has failed before.
+    std::optional<executor_id> avoided;
+};
+
 /// The objective is a multiple of the run time, so that a wrong estimate moves
 /// both; only the spread among the tasks of a job is left.
 inline constexpr double objective_margin = 1.06;
@@ -89,6 +101,6 @@
 /// Safe to call from any thread.
 [[nodiscard]] std::optional<placement_choice>
 choose_executor(std::span<placement_candidate const> candidates,
-                resource_amounts const& demand, placement_times const& times);
+                placement_request const& request);
 
 } // namespace goldcrestgate::core
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -119,7 +119,7 @@
           loop.now())
     , gateway_(self_.domain)
     , scheduler_({settings.longest_lease, settings.stop_time,
-                  settings.resubmission_delay})
+                  settings.resubmission_delay, settings.remote_rack_factor})
     , callers_(loop, {.max_body_bytes = settings.body_limit_bytes,
                       .request_timeout = std::chrono::seconds{15},
                       .max_connections = settings.caller_connection_limit})
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/app/entry/entry_instance.hpp"
 
+#include "goldcrestgate/core/detail/overloaded.hpp"
 #include <utility>
 
 namespace goldcrestgate::app
@@ -8,15 +9,6 @@
 namespace
 {
 
-template <typename... Functions>
-struct overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
-template <typename... Functions>
-overloaded(Functions...) -> overloaded<Functions...>;
-
 /// Time in which an instance that reaches the store reads a new configuration.
 constexpr core::duration own_read_time = std::chrono::milliseconds{500};
 
@@ -101,35 +93,35 @@
 void entry_instance::on_peer_event(core::event&& event)
 {
     std::visit(
-        overloaded{[this](core::peer_received& received)
-                   {
-                       on_message(received.from, received.message);
-                   },
-                   [this](core::peer_connected const& connected)
-                   {
-                       on_connected(connected.peer);
-                   },
-                   [this](core::peer_lost const& lost)
-                   {
-                       auto const known = connected_.extract(lost.peer);
-                       if (known.empty() && !lost.refused)
-                       {
-                           return;
-                       }
-                       if (!known.empty())
-                       {
-                           log_.write(
-                               log_line{log_level::warning, "peer_lost"}
+        core::detail::overloaded{
+            [this](core::peer_received& received)
+            {
+                on_message(received.from, received.message);
+            },
+            [this](core::peer_connected const& connected)
+            {
+                on_connected(connected.peer);
+            },
+            [this](core::peer_lost const& lost)
+            {
+                auto const known = connected_.extract(lost.peer);
+                if (known.empty() && !lost.refused)
+                {
+                    return;
+                }
+                if (!known.empty())
+                {
+                    log_.write(log_line{log_level::warning, "peer_lost"}
                                    .text("peer", format_instance(lost.peer))
                                    .flag("refused", lost.refused));
-                       }
-                       ownership_.lost(lost.peer, lost.refused, loop_.now());
-                       scheduler_.origin_lost(lost.peer, loop_.now());
-                   },
-                   [](auto const&)
-                   {
-                       // The network delivers no other events.
-                   }},
+                }
+                ownership_.lost(lost.peer, lost.refused, loop_.now());
+                scheduler_.origin_lost(lost.peer, loop_.now());
+            },
+            [](auto const&)
+            {
+                // The network delivers no other events.
+            }},
         event);
 }
 
@@ -159,7 +151,7 @@
 {
     auto const now = loop_.now();
     std::visit(
-        overloaded{
+        core::detail::overloaded{
             [&](core::owner_heartbeat const& heartbeat)
             {
                 ownership_.heard(from, heartbeat, now);
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -61,6 +61,10 @@
     {{"executors.stop_time_ms", integer_rule{1, 10 * second, 50},
       "Time that an executor takes to stop a task; given by the platform."},
      &settings::stop_time},
+    {{"executors.remote_rack_factor", number_rule{1, 1000, 2.0},
+      "How many times longer a task takes away from the rack of its data; "
+      "given by the platform."},
+     &settings::remote_rack_factor},
     {{"callers.resubmission_delay_ms", integer_rule{100, minute, 1300},
       "Time after which a caller that lost its connection submits its job "
       "again; given by the platform."},
--- a/src/app/settings_task.cpp
+++ b/src/app/settings_task.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/app/settings_task.hpp"
 
+#include "goldcrestgate/core/detail/overloaded.hpp"
 #include "goldcrestgate/core/settings/publication_check.hpp"
 
 #include <algorithm>
@@ -29,15 +30,6 @@
             snapshot_delay_step * step};
 }
 
-template <typename... Functions>
-struct overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
-template <typename... Functions>
-overloaded(Functions...) -> overloaded<Functions...>;
-
 } // namespace
 
 settings_task::settings_task(io::event_loop& loop,
@@ -194,23 +186,24 @@
                                 answer_sink done)
 {
     std::visit(
-        overloaded{[&](platform::log_appended const& appended)
-                   {
-                       open_publications_.push_back(
-                           {publication, appended.offset,
-                            loop_.now() + settings_.platform_timeout,
-                            std::move(done)});
-                       answer_publications();
-                   },
-                   [&](platform::log_not_appended const& refused)
-                   {
-                       constexpr std::uint16_t unavailable = 503;
-                       done(core::answer_error(unavailable, refused.failure));
-                   },
-                   [&](platform::log_perhaps_appended const&)
-                   {
-                       done(core::answer_append_unknown(publication));
-                   }},
+        core::detail::overloaded{
+            [&](platform::log_appended const& appended)
+            {
+                open_publications_.push_back(
+                    {publication, appended.offset,
+                     loop_.now() + settings_.platform_timeout,
+                     std::move(done)});
+                answer_publications();
+            },
+            [&](platform::log_not_appended const& refused)
+            {
+                constexpr std::uint16_t unavailable = 503;
+                done(core::answer_error(unavailable, refused.failure));
+            },
+            [&](platform::log_perhaps_appended const&)
+            {
+                done(core::answer_append_unknown(publication));
+            }},
         result);
 }
 
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -243,7 +243,7 @@
             load.free_millicores += free.cpu_millicores;
         }
     }
-    load.expected_wait = state_.expected_wait(now);
+    load.expected_wait = state_.expected_wait({}, now);
     return load;
 }
 
--- a/src/core/leasing/placement.cpp
+++ b/src/core/leasing/placement.cpp
@@ -44,27 +44,29 @@
 
 std::optional<placement_choice>
 choose_executor(std::span<placement_candidate const> candidates,
-                resource_amounts const& demand, placement_times const& times)
+                placement_request const& request)
 {
-    auto const run_time = [&times](double slowdown, double margin)
+    auto const run_time = [&request](double slowdown, double margin)
     {
-        return detail::scale_duration(times.estimate, slowdown * margin);
+        return detail::scale_duration(request.estimate, slowdown * margin);
     };
     placement_candidate const* best = nullptr;
     bool best_meets = false;
     std::uint32_t fitting = 0;
     for (auto const& candidate : candidates)
     {
-        if (!demand.fits_into(candidate.free) ||
-            run_time(candidate.slowdown, hopeless_margin) > times.to_limit)
+        if (!request.demand.fits_into(candidate.free) ||
+            candidate.places_left == 0 ||
+            candidate.executor == request.avoided ||
+            run_time(candidate.slowdown, hopeless_margin) > request.to_limit)
         {
             continue;
         }
         ++fitting;
         bool const meets =
             run_time(candidate.slowdown, objective_margin) <=
-                times.to_objective &&
-            run_time(candidate.slowdown, limit_margin) <= times.to_limit;
+                request.to_objective &&
+            run_time(candidate.slowdown, limit_margin) <= request.to_limit;
         bool const improves =
             best == nullptr || (meets && !best_meets) ||
             (meets == best_meets && is_better(candidate, *best, meets));
@@ -79,11 +81,11 @@
         return std::nullopt;
     }
     bool const is_safe =
-        run_time(best->slowdown, limit_margin) <= times.to_limit;
+        run_time(best->slowdown, limit_margin) <= request.to_limit;
     bool const faster_exists =
-        times.fastest_slowdown * (1.0 + 2 * equal_speed_tolerance) <
+        request.fastest_slowdown * (1.0 + 2 * equal_speed_tolerance) <
         best->slowdown;
-    if (!is_safe && faster_exists && times.waited < fast_executor_patience)
+    if (!is_safe && faster_exists && request.waited < fast_executor_patience)
     {
         return std::nullopt;
     }
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
 #include <algorithm>
@@ -120,7 +121,8 @@
     run_record run;
     run.run = {{job.job.id, group, index}, ++task.last_execution};
     run.amounts = wanted.each_task;
-    run.estimate = wanted.estimate;
+    run.estimate = scale_duration(wanted.estimate,
+                                  rack_factor(executor.description, wanted));
     run.expected = expected;
     run.sent_at = turn.now;
     executor.used += run.amounts;
--- /dev/null
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -0,0 +1,226 @@
+#include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
+#include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/placement.hpp"
+#include "goldcrestgate/core/leasing/serving_order.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace goldcrestgate::core::detail
+{
+
+namespace
+{
+
+bool has_waiting(job_record const& job)
+{
+    return std::ranges::any_of(job.groups,
+                               [](group_record const& group)
+                               {
+                                   return group.waiting > 0;
+                               });
+}
+
+bool has_label(executor_description const& description,
+               std::string const& label)
+{
+    return label.empty() || std::ranges::find(description.labels, label) !=
+                                description.labels.end();
+}
+
+/// A run that is being stopped counts until it has ended.
+std::size_t count_runs(executor_record const& executor, client_job_id job,
+                       std::uint16_t group)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        executor.runs,
+        [job, group](run_record const& run)
+        {
+            return run.run.task.job == job && run.run.task.group == group;
+        }));
+}
+
+std::size_t places_left(executor_record const& executor, job_record const& job,
+                        std::uint16_t group)
+{
+    std::size_t const limit = job.job.groups[group].max_per_executor;
+    if (limit == 0)
+    {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    return limit - std::min(limit, count_runs(executor, job.job.id, group));
+}
+
+} // namespace
+
+bool scheduler_state::accepts(executor_record const& executor,
+                              time_point now) const
+{
+    bool const size_unknown =
+        std::ranges::any_of(executor.runs,
+                            [](run_record const& run)
+                            {
+                                return run.amounts == resource_amounts{};
+                            });
+    return executor.claimed && executor.clock && executor.listed &&
+           now >= executor.usable_at && !executor.silent && !executor.recount &&
+           !size_unknown && !executor.description.draining &&
+           executor.health.accepts(now, executor.runs.size());
+}
+
+std::size_t scheduler_state::waiting_tasks() const
+{
+    std::size_t count = 0;
+    for (auto const& [id, job] : jobs)
+    {
+        for (auto const& group : job.groups)
+        {
+            count += group.waiting;
+        }
+    }
+    return count;
+}
+
+double scheduler_state::rack_factor(executor_description const& description,
+                                    task_group const& group) const
+{
+    return has_label(description, group.preferred_rack)
+               ? 1.0
+               : limits.remote_rack_factor;
+}
+
+void scheduler_state::place_waiting(scheduler_turn& turn)
+{
+    std::map<std::string_view, slowdown_range> ranges;
+    std::vector<std::pair<serving_position, job_record*>> order;
+    for (auto& [id, job] : jobs)
+    {
+        if (job.awaits_claims || job.unwanted_at || !has_waiting(job))
+        {
+            continue;
+        }
+        std::string_view const service = job.job.service;
+        if (!ranges.contains(service))
+        {
+            ranges.emplace(service, slowdowns(service, turn.now));
+        }
+        bool const restricted =
+            needs_fast(job, turn.now, ranges.at(service).slowest);
+        order.emplace_back(
+            position_of({job.due, latest_start(job), restricted, job.started},
+                        turn.now),
+            &job);
+    }
+    std::ranges::sort(order, {}, &decltype(order)::value_type::first);
+    for (auto const& [position, job] : order)
+    {
+        place_job(*job, ranges.at(job->job.service).fastest, turn);
+    }
+}
+
+std::vector<placement_candidate>
+scheduler_state::find_candidates(job_record const& job, std::uint16_t group,
+                                 time_point now) const
+{
+    auto const& wanted = job.job.groups[group];
+    std::vector<placement_candidate> candidates;
+    for (auto const& [id, executor] : executors)
+    {
+        auto const& description = executor.description;
+        auto const places = places_left(executor, job, group);
+        if (places == 0 || !serves(executor, job.job.service, now) ||
+            !has_label(description, wanted.required_label))
+        {
+            continue;
+        }
+        auto free = description.capacity;
+        free -= executor.used;
+        if (wanted.each_task.fits_into(free))
+        {
+            candidates.push_back(
+                {id, free,
+                 speeds.slowdown(id) * rack_factor(description, wanted),
+                 places});
+        }
+    }
+    return candidates;
+}
+
+void scheduler_state::place_job(job_record& job, double fastest,
+                                scheduler_turn& turn)
+{
+    for (std::uint16_t group = 0; group < job.groups.size(); ++group)
+    {
+        if (job.groups[group].waiting > 0)
+        {
+            place_group(job, group, fastest, turn);
+        }
+    }
+}
+
+void scheduler_state::place_group(job_record& job, std::uint16_t group,
+                                  double fastest, scheduler_turn& turn)
+{
+    auto const& wanted = job.job.groups[group];
+    auto const& tasks = job.groups[group].tasks;
+    auto candidates = find_candidates(job, group, turn.now);
+    placement_request request;
+    request.demand = wanted.each_task;
+    request.estimate = wanted.estimate;
+    request.to_objective = job.due - turn.now;
+    request.to_limit = job.limit - turn.now;
+    request.waited = turn.now - (job.limit - job.job.time_limit);
+    request.fastest_slowdown = fastest;
+    for (std::uint16_t index = 0; index < tasks.size(); ++index)
+    {
+        if (tasks[index].phase != task_phase::waiting)
+        {
+            continue;
+        }
+        request.avoided =
+            executors.size() > 1 ? tasks[index].failed_on : std::nullopt;
+        auto const choice = choose_executor(candidates, request);
+        if (!choice)
+        {
+            if (request.avoided)
+            {
+                continue;
+            }
+            // The tasks of a group are equal, so the others find none either.
+            return;
+        }
+        note_placement(job, {job.job.id, group, index}, *choice, turn);
+        auto& executor = executors.at(choice->executor);
+        start(job, group, index, executor, choice->expected_run, turn);
+        auto const used = std::ranges::find(candidates, choice->executor,
+                                            &placement_candidate::executor);
+        used->free -= wanted.each_task;
+        --used->places_left;
+        // A trial task is the only one on its executor.
+        if (!accepts(executor, turn.now))
+        {
+            candidates.erase(used);
+        }
+    }
+}
+
+void scheduler_state::note_placement(job_record const& job,
+                                     leased_task const& task,
+                                     placement_choice const& choice,
+                                     scheduler_turn& turn)
+{
+    auto const& record = job.groups[task.group].tasks[task.index];
+    scheduling_note note{.event = "task_placed",
+                         .job = task.job,
+                         .run = task_run{task, record.last_execution + 1},
+                         .executor = choice.executor};
+    note.reason = choice.reason == placement_reason::meets_objective
+                      ? "meets_objective"
+                      : "earliest_finish";
+    note.slack = job.due - turn.now;
+    note.run_time = choice.expected_run;
+    note.count = choice.candidates;
+    turn.out.emplace_back(note);
+}
+
+} // namespace goldcrestgate::core::detail
--- a/src/core/settings/schema.cpp
+++ b/src/core/settings/schema.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/core/settings/schema.hpp"
 
+#include "goldcrestgate/core/detail/overloaded.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -12,15 +14,6 @@
 
 using nlohmann::json;
 
-template <typename... Visitors>
-struct overloaded : Visitors...
-{
-    using Visitors::operator()...;
-};
-
-template <typename... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
 constexpr std::size_t label_limit_bytes = 64;
 constexpr std::string_view label_characters =
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_";
@@ -226,24 +219,25 @@
 std::string describe_range(value_rule const& rule)
 {
     return std::visit(
-        overloaded{[](boolean_rule const&)
-                   {
-                       return std::string{"true or false"};
-                   },
-                   [](integer_rule const& integer)
-                   {
-                       return "an integer from " +
-                              range_text(integer.minimum, integer.maximum);
-                   },
-                   [](number_rule const& number)
-                   {
-                       return "a number from " +
-                              range_text(number.minimum, number.maximum);
-                   },
-                   [](text_rule const& text)
-                   {
-                       return describe_text(text);
-                   }},
+        detail::overloaded{
+            [](boolean_rule const&)
+            {
+                return std::string{"true or false"};
+            },
+            [](integer_rule const& integer)
+            {
+                return "an integer from " +
+                       range_text(integer.minimum, integer.maximum);
+            },
+            [](number_rule const& number)
+            {
+                return "a number from " +
+                       range_text(number.minimum, number.maximum);
+            },
+            [](text_rule const& text)
+            {
+                return describe_text(text);
+            }},
         rule);
 }
 
@@ -260,25 +254,25 @@
 std::optional<error_code> check_value(value_rule const& rule, json const& value)
 {
     return std::visit(
-        overloaded{[&](boolean_rule const&) -> std::optional<error_code>
-                   {
-                       return value.is_boolean()
-                                  ? std::nullopt
-                                  : std::optional{
-                                        error_code::settings_wrong_type};
-                   },
-                   [&](integer_rule const& integer)
-                   {
-                       return check_integer(integer, value);
-                   },
-                   [&](number_rule const& number)
-                   {
-                       return check_number(number, value);
-                   },
-                   [&](text_rule const& text)
-                   {
-                       return check_text(text, value);
-                   }},
+        detail::overloaded{
+            [&](boolean_rule const&) -> std::optional<error_code>
+            {
+                return value.is_boolean()
+                           ? std::nullopt
+                           : std::optional{error_code::settings_wrong_type};
+            },
+            [&](integer_rule const& integer)
+            {
+                return check_integer(integer, value);
+            },
+            [&](number_rule const& number)
+            {
+                return check_number(number, value);
+            },
+            [&](text_rule const& text)
+            {
+                return check_text(text, value);
+            }},
         rule);
 }
 
--- a/tests/failure/harness/leased.py
+++ b/tests/failure/harness/leased.py
@@ -17,7 +17,7 @@
 from urllib.parse import parse_qs, urlparse
 
 from . import http_json
-from .processes import Process, free_port, wait_until
+from .processes import Process, free_port, loopback_address, wait_until
 
 LEASE_MS = 1000
 STOP_S = 0.03
@@ -55,6 +55,8 @@
 
 class Server(ThreadingHTTPServer):
     daemon_threads = True
+    # All instances connect at once after a start of all.
+    request_queue_size = 128
 
     def handle_error(self, request, client_address):
         """Connections of killed processes break; that is no fault here."""
@@ -240,12 +242,12 @@
 class EntryInstance:
     def __init__(self, system, number):
         self.system = system
-        self.ip = f"127.0.0.{number}"
+        self.ip = loopback_address(number)
         self.name = f"entry-{number}"
-        self.callers = f"{self.ip}:{free_port()}"
-        self.readiness = f"{self.ip}:{free_port()}"
-        self.peers = f"{self.ip}:{free_port()}"
-        self.metrics = f"{self.ip}:{free_port()}"
+        self.callers = f"{self.ip}:{free_port(self.ip)}"
+        self.readiness = f"{self.ip}:{free_port(self.ip)}"
+        self.peers = f"{self.ip}:{free_port(self.ip)}"
+        self.metrics = f"{self.ip}:{free_port(self.ip)}"
         self.process = None
         self.starts = 0
 
@@ -270,6 +272,7 @@
                          f"{self.name}-{self.starts}.log"))
 
     def ready(self):
+        self.process.check_running()
         answer = http_json.try_request(self.readiness, "GET", "/api/readyz",
                                        timeout_s=2)
         return answer is not None and answer.status == 200
@@ -306,7 +309,6 @@
         for executor in self.executors:
             self.store.put("keyed.servers", executor.name, executor.entry())
         self.publish(1, 1500)
-        # 127.0.0.1 is the stand-in's own address.
         self.instances = [EntryInstance(self, number)
                           for number in range(2, 2 + instances)]
 
@@ -319,14 +321,18 @@
             wait_until(lambda: self.owner() is not None and
                        self.owner().metric("executors_claimed") ==
                        len(self.executors), "claimed executors")
-        except TimeoutError:
+        except (TimeoutError, RuntimeError):
             # The logs are removed at the end, and nothing else shows why.
             for instance in self.instances:
                 print(instance.name, instance.process.output()[-4000:])
+            self.close()
             raise
         return self
 
     def __exit__(self, *_):
+        self.close()
+
+    def close(self):
         for instance in self.instances:
             instance.process.close()
         for service in [self.store, *self.executors]:
@@ -336,16 +342,13 @@
     def publish(self, version, timeout_ms):
         self.store.put("keyed.op", "config", {
             "version": version, "services": [{"name": "desk"}],
-            "routes": [{"name": "r", "hostname": "127.0.0.2",
-                        "path_prefix": "/desk/", "service": "desk",
-                        "timeout_ms": timeout_ms, "target_latency_ms": 500,
-                        "priority": 0, "max_attempts": 2,
-                        "stretch_factor": 3}] + [
-                       {"name": f"r{n}", "hostname": f"127.0.0.{n}",
+            # Callers send the address that they connect to as the host.
+            "routes": [{"name": f"r{number}",
+                        "hostname": loopback_address(number),
                         "path_prefix": "/desk/", "service": "desk",
                         "timeout_ms": timeout_ms, "target_latency_ms": 500,
                         "priority": 0, "max_attempts": 2,
-                        "stretch_factor": 3} for n in range(3, 9)]})
+                        "stretch_factor": 3} for number in range(2, 9)]})
 
     def owner(self):
         for instance in self.instances:
--- a/tests/failure/harness/processes.py
+++ b/tests/failure/harness/processes.py
@@ -15,15 +15,25 @@
 _given_ports = set()
 
 
-def free_port():
-    """Returns a TCP port of the loopback interface that is free at the moment."""
+def loopback_address(number):
+    """Returns an address of the loopback network that only this process uses.
+
+    The second and third octets are taken from the process id, so that tests
+    which run at the same time never compete for a port.
+    """
+    process = os.getpid()
+    return f"127.{64 + (process >> 8) % 64}.{process % 256}.{number}"
+
+
+def free_port(ip="127.0.0.1"):
+    """Returns a TCP port that is free at the moment on a loopback address."""
     while True:
         port = random.randint(*PORT_RANGE)
         if port in _given_ports:
             continue
         with socket.socket() as probe:
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind((ip, port))
             except OSError:
                 continue
         _given_ports.add(port)
@@ -81,6 +91,12 @@
         """Returns the exit code."""
         return self._child.wait(timeout=limit_s)
 
+    def check_running(self):
+        """Raises RuntimeError with the output if the process has ended."""
+        if not self.running():
+            raise RuntimeError(f"{self.name} ended with code "
+                               f"{self._child.returncode}: {self.output()}")
+
     def output(self):
         with open(self.log_path, "rb") as log:
             return log.read().decode(errors="replace")
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -17,15 +17,6 @@
 constexpr duration longest_lease = milliseconds{1000};
 constexpr duration stop_time = milliseconds{30};
 
-template <typename... Functions>
-struct overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
-template <typename... Functions>
-overloaded(Functions...) -> overloaded<Functions...>;
-
 duration scale(duration span, double factor)
 {
     return duration{std::llround(static_cast<double>(span.count()) * factor)};
@@ -73,6 +64,19 @@
     work_[job] = work;
 }
 
+void executor_fleet::set_data_rack(client_job_id job, std::string rack)
+{
+    data_racks_[job] = std::move(rack);
+}
+
+void executor_fleet::describe(executor_id id, std::string service,
+                              std::vector<std::string> labels)
+{
+    auto& description = machines_.at(id).description;
+    description.service = std::move(service);
+    description.labels = std::move(labels);
+}
+
 executor_clock executor_fleet::clock() const
 {
     return executor_clock{static_cast<std::uint64_t>(
@@ -152,6 +156,18 @@
     }
 }
 
+duration executor_fleet::run_time(machine const& host, client_job_id job) const
+{
+    constexpr double remote_rack_factor = 2.0;
+    auto const& labels = host.description.labels;
+    auto const rack = data_racks_.find(job);
+    bool const is_remote =
+        rack != data_racks_.end() &&
+        std::ranges::find(labels, rack->second) == labels.end();
+    return scale(work_.at(job), host.behaviour.slowdown *
+                                    (is_remote ? remote_rack_factor : 1.0));
+}
+
 order_outcome executor_fleet::start(machine& host, start_run const& order)
 {
     if (order.token.value() < host.token)
@@ -188,8 +204,7 @@
     host.lease_until =
         std::max(host.lease_until,
                  std::min(to_time(order.lease_until), now_ + longest_lease));
-    auto const total =
-        scale(work_[order.run.task.job], host.behaviour.slowdown);
+    auto const total = run_time(host, order.run.task.job);
     auto const ends = host.behaviour.hangs ? time_point::max() : now_ + total;
     host.runs.push_back({order.run, now_, ends, total});
     return order_outcome::accepted;
@@ -375,135 +390,25 @@
     std::size_t count = 0;
     for (auto const& [id, host] : machines_)
     {
-        count += static_cast<std::size_t>(
-            std::ranges::count_if(host.runs,
-                                  [job](live_run const& run)
-                                  {
-                                      return run.run.task.job == job;
-                                  }));
+        count += running(job, id);
     }
     return count;
 }
 
-std::size_t executor_fleet::starts(client_job_id job) const
+std::size_t executor_fleet::running(client_job_id job, executor_id on) const
 {
-    auto const found = starts_.find(job);
-    return found == starts_.end() ? 0 : found->second;
+    return static_cast<std::size_t>(
+        std::ranges::count_if(machines_.at(on).runs,
+                              [job](live_run const& run)
+                              {
+                                  return run.run.task.job == job;
+                              }));
 }
 
-fleet_owner::fleet_owner(executor_fleet& fleet)
-    : scheduler(scheduler_limits{})
-    , fleet_(fleet)
-{
-    tick();
-}
-
-void fleet_owner::tick()
-{
-    if (dead_)
-    {
-        return;
-    }
-    std::vector<scheduler_action> out;
-    scheduler.tick(fleet_.now(), out);
-    apply(out);
-    fleet_.after(milliseconds{10},
-                 [this]
-                 {
-                     tick();
-                 });
-}
-
-void fleet_owner::list(executor_id id)
-{
-    std::vector<scheduler_action> out;
-    scheduler.list(id, fleet_.description(id), fleet_.now(), out);
-    apply(out);
-}
-
-void fleet_owner::list_all()
-{
-    for (auto const id : fleet_.ids())
-    {
-        list(id);
-    }
-}
-
-void fleet_owner::take_over(std::uint64_t token, bool roster_known)
-{
-    std::vector<scheduler_action> out;
-    scheduler.take_over(fencing_token{token}, roster_known, fleet_.now(), out);
-    apply(out);
-}
-
-void fleet_owner::offer(leased_job const& job, bool resumed, instance_id origin)
-{
-    std::vector<scheduler_action> out;
-    scheduler.offer(origin, {job, {}, resumed}, fleet_.now(), out);
-    apply(out);
-}
-
-void fleet_owner::apply(std::vector<scheduler_action> const& actions)
-{
-    auto const answered = [this](auto member)
-    {
-        return [this, member](auto const& answer)
-        {
-            if (dead_)
-            {
-                return;
-            }
-            std::vector<scheduler_action> out;
-            (scheduler.*member)(answer, fleet_.now(), out);
-            apply(out);
-        };
-    };
-    for (auto const& action : actions)
-    {
-        std::visit(
-            overloaded{[&](start_run const& order)
-                       {
-                           fleet_.order(
-                               order, answered(&job_scheduler::start_answered));
-                       },
-                       [&](stop_run const& order)
-                       {
-                           fleet_.order(
-                               order, answered(&job_scheduler::stop_answered));
-                       },
-                       [&](hold_executor const& order)
-                       {
-                           fleet_.order(
-                               order, answered(&job_scheduler::hold_answered));
-                       },
-                       [&](report_verdict const& report)
-                       {
-                           verdicts[report.verdict.job] = report.verdict;
-                           ended_at[report.verdict.job] = fleet_.now();
-                       },
-                       [](scheduling_note const&)
-                       {
-                           // The tests judge effects, not the log.
-                       }},
-            action);
-    }
-}
-
-leased_job make_leased_job(std::uint64_t id, std::uint16_t tasks,
-                           duration estimate)
+std::size_t executor_fleet::starts(client_job_id job) const
 {
-    leased_job job;
-    job.id = client_job_id{id};
-    job.service = "desk";
-    job.payload = "payload";
-    job.groups.emplace_back();
-    job.groups.front().task_count = tasks;
-    job.groups.front().each_task = {27'000, 64, 0};
-    job.groups.front().estimate = estimate;
-    job.max_attempts = 2;
-    job.objective = scale(estimate, 1.6) + milliseconds{60};
-    job.time_limit = milliseconds{1500};
-    return job;
+    auto const found = starts_.find(job);
+    return found == starts_.end() ? 0 : found->second;
 }
 
 } // namespace goldcrestgate::tests
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -56,6 +56,15 @@
     /// @brief Sets the true work of a job's tasks.
     void set_work(core::client_job_id job, core::duration work);
 
+    /// @brief Sets the rack on which a job's data is located; elsewhere its
+    /// tasks take twice as long.
+    void set_data_rack(core::client_job_id job, std::string rack);
+
+    /// @brief Sets the service and the labels of an executor.
+    /// @pre no owner has listed it yet
+    void describe(core::executor_id id, std::string service,
+                  std::vector<std::string> labels);
+
     void order(core::start_run const& order, start_sink const& answer);
     void order(core::stop_run const& order, start_sink const& answer);
     void order(core::hold_executor const& order, hold_sink const& answer);
@@ -69,6 +78,10 @@
     /// @brief Returns the runs of a job that are under way.
     [[nodiscard]] std::size_t running(core::client_job_id job) const;
 
+    /// @brief Returns the runs of a job that are under way on one executor.
+    [[nodiscard]] std::size_t running(core::client_job_id job,
+                                      core::executor_id on) const;
+
     /// @brief Returns the starts of a job so far.
     [[nodiscard]] std::size_t starts(core::client_job_id job) const;
 
@@ -107,6 +120,8 @@
 
     [[nodiscard]] core::order_outcome start(machine& host,
                                             core::start_run const& order);
+    [[nodiscard]] core::duration run_time(machine const& host,
+                                          core::client_job_id job) const;
     [[nodiscard]] core::hold_answer look(machine& host,
                                          core::hold_executor const& order);
     [[nodiscard]] bool loses_order();
@@ -121,43 +136,8 @@
         events_;
     std::map<core::executor_id, machine> machines_;
     std::map<core::client_job_id, core::duration> work_;
+    std::map<core::client_job_id, std::string> data_racks_;
     std::map<core::client_job_id, std::size_t> starts_;
 };
 
-/// @brief A scheduler that drives the fleet; it may be killed or frozen.
-class fleet_owner
-{
-public:
-    explicit fleet_owner(executor_fleet& fleet);
-
-    void list_all();
-    void list(core::executor_id id);
-    void take_over(std::uint64_t token, bool roster_known);
-    void offer(core::leased_job const& job, bool resumed = false,
-               core::instance_id origin = core::instance_id{1});
-
-    /// @brief The process is gone; orders that it has sent still arrive.
-    void kill()
-    {
-        dead_ = true;
-    }
-
-    core::job_scheduler scheduler;
-    std::map<core::client_job_id, core::job_verdict> verdicts;
-    std::map<core::client_job_id, core::time_point> ended_at;
-
-    /// @brief Carries out what the scheduler wants done.
-    void apply(std::vector<core::scheduler_action> const& actions);
-
-private:
-    void tick();
-
-    executor_fleet& fleet_;
-    bool dead_ = false;
-};
-
-/// @brief Makes a job of one group.
-[[nodiscard]] core::leased_job
-make_leased_job(std::uint64_t id, std::uint16_t tasks, core::duration estimate);
-
 } // namespace goldcrestgate::tests
--- /dev/null
+++ b/tests/support/fleet_owner.cpp
@@ -0,0 +1,128 @@
+#include "support/fleet_owner.hpp"
+
+#include "goldcrestgate/core/detail/overloaded.hpp"
+#include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
+
+namespace goldcrestgate::tests
+{
+
+using namespace core;
+using std::chrono::milliseconds;
+
+fleet_owner::fleet_owner(executor_fleet& fleet)
+    : scheduler(scheduler_limits{})
+    , fleet_(fleet)
+{
+    tick();
+}
+
+void fleet_owner::tick()
+{
+    if (dead_)
+    {
+        return;
+    }
+    std::vector<scheduler_action> out;
+    scheduler.tick(fleet_.now(), out);
+    apply(out);
+    fleet_.after(milliseconds{10},
+                 [this]
+                 {
+                     tick();
+                 });
+}
+
+void fleet_owner::list(executor_id id)
+{
+    std::vector<scheduler_action> out;
+    scheduler.list(id, fleet_.description(id), fleet_.now(), out);
+    apply(out);
+}
+
+void fleet_owner::list_all()
+{
+    for (auto const id : fleet_.ids())
+    {
+        list(id);
+    }
+}
+
+void fleet_owner::take_over(std::uint64_t token, bool roster_known)
+{
+    std::vector<scheduler_action> out;
+    scheduler.take_over(fencing_token{token}, roster_known, fleet_.now(), out);
+    apply(out);
+}
+
+void fleet_owner::offer(leased_job const& job, bool resumed, instance_id origin)
+{
+    std::vector<scheduler_action> out;
+    scheduler.offer(origin, {job, {}, resumed}, fleet_.now(), out);
+    apply(out);
+}
+
+void fleet_owner::apply(std::vector<scheduler_action> const& actions)
+{
+    auto const answered = [this](auto member)
+    {
+        return [this, member](auto const& answer)
+        {
+            if (dead_)
+            {
+                return;
+            }
+            std::vector<scheduler_action> out;
+            (scheduler.*member)(answer, fleet_.now(), out);
+            apply(out);
+        };
+    };
+    for (auto const& action : actions)
+    {
+        std::visit(
+            detail::overloaded{
+                [&](start_run const& order)
+                {
+                    fleet_.order(order,
+                                 answered(&job_scheduler::start_answered));
+                },
+                [&](stop_run const& order)
+                {
+                    fleet_.order(order,
+                                 answered(&job_scheduler::stop_answered));
+                },
+                [&](hold_executor const& order)
+                {
+                    fleet_.order(order,
+                                 answered(&job_scheduler::hold_answered));
+                },
+                [&](report_verdict const& report)
+                {
+                    verdicts[report.verdict.job] = report.verdict;
+                    ended_at[report.verdict.job] = fleet_.now();
+                },
+                [](scheduling_note const&)
+                {
+                    // The tests judge effects, not the log.
+                }},
+            action);
+    }
+}
+
+leased_job make_leased_job(std::uint64_t id, std::uint16_t tasks,
+                           duration estimate)
+{
+    leased_job job;
+    job.id = client_job_id{id};
+    job.service = "desk";
+    job.payload = "payload";
+    job.groups.emplace_back();
+    job.groups.front().task_count = tasks;
+    job.groups.front().each_task = {27'000, 64, 0};
+    job.groups.front().estimate = estimate;
+    job.max_attempts = 2;
+    job.objective = detail::scale_duration(estimate, 1.6) + milliseconds{60};
+    job.time_limit = milliseconds{1500};
+    return job;
+}
+
+} // namespace goldcrestgate::tests
--- /dev/null
+++ b/tests/support/fleet_owner.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "support/executor_fleet.hpp"
+
+#include "goldcrestgate/core/leasing/job_scheduler.hpp"
+
+#include <map>
+#include <vector>
+
+namespace goldcrestgate::tests
+{
+
+/// @brief A scheduler that drives the fleet; it may be killed or frozen.
+class fleet_owner
+{
+public:
+    explicit fleet_owner(executor_fleet& fleet);
+
+    void list_all();
+    void list(core::executor_id id);
+    void take_over(std::uint64_t token, bool roster_known);
+    void offer(core::leased_job const& job, bool resumed = false,
+               core::instance_id origin = core::instance_id{1});
+
+    /// @brief The process is gone; orders that it has sent still arrive.
+    void kill()
+    {
+        dead_ = true;
+    }
+
+    core::job_scheduler scheduler;
+    std::map<core::client_job_id, core::job_verdict> verdicts;
+    std::map<core::client_job_id, core::time_point> ended_at;
+
+    /// @brief Carries out what the scheduler wants done.
+    void apply(std::vector<core::scheduler_action> const& actions);
+
+private:
+    void tick();
+
+    executor_fleet& fleet_;
+    bool dead_ = false;
+};
+
+/// @brief Makes a job of one group.
+[[nodiscard]] core::leased_job
+make_leased_job(std::uint64_t id, std::uint16_t tasks, core::duration estimate);
+
+} // namespace goldcrestgate::tests
--- a/tests/unit/job_gateway.cpp
+++ b/tests/unit/job_gateway.cpp
@@ -1,5 +1,5 @@
 #include "goldcrestgate/core/leasing/job_gateway.hpp"
-#include "support/executor_fleet.hpp"
+#include "support/fleet_owner.hpp"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/unit/job_scheduler.cpp
+++ b/tests/unit/job_scheduler.cpp
@@ -1,4 +1,4 @@
-#include "support/executor_fleet.hpp"
+#include "support/fleet_owner.hpp"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/unit/leasing_decisions.cpp
+++ b/tests/unit/leasing_decisions.cpp
@@ -61,11 +61,11 @@
     void long_task_waits_for_a_fast_executor()
     {
         std::array const slow = {candidate(3, 64'000, 1.7)};
-        placement_times times = times_of(milliseconds{900}, milliseconds{1500});
-        times.waited = {};
-        CPPUNIT_ASSERT(!choose_executor(slow, demand, times));
-        times.waited = fast_executor_patience;
-        CPPUNIT_ASSERT(choose_executor(slow, demand, times));
+        auto request = request_of(milliseconds{900}, milliseconds{1500});
+        request.waited = {};
+        CPPUNIT_ASSERT(!choose_executor(slow, request));
+        request.waited = fast_executor_patience;
+        CPPUNIT_ASSERT(choose_executor(slow, request));
     }
 
     void equal_executors_are_filled_up()
@@ -80,7 +80,7 @@
     {
         std::array const slow = {candidate(3, 64'000, 4.0)};
         CPPUNIT_ASSERT(!choose_executor(
-            slow, demand, times_of(milliseconds{900}, milliseconds{1500})));
+            slow, request_of(milliseconds{900}, milliseconds{1500})));
     }
 
     void admission_rejects_what_waits_too_long()
@@ -149,15 +149,16 @@
     }
 
 private:
-    static placement_times times_of(duration estimate, duration left)
+    static placement_request request_of(duration estimate, duration left)
     {
-        placement_times times;
-        times.estimate = estimate;
-        times.to_objective = left;
-        times.to_limit = milliseconds{1500};
-        times.fastest_slowdown = 0.6;
-        times.waited = fast_executor_patience;
-        return times;
+        placement_request request;
+        request.demand = demand;
+        request.estimate = estimate;
+        request.to_objective = left;
+        request.to_limit = milliseconds{1500};
+        request.fastest_slowdown = 0.6;
+        request.waited = fast_executor_patience;
+        return request;
     }
 
     template <std::size_t Count>
@@ -166,7 +167,7 @@
            duration estimate, duration left)
     {
         auto const choice =
-            choose_executor(candidates, demand, times_of(estimate, left));
+            choose_executor(candidates, request_of(estimate, left));
         CPPUNIT_ASSERT(choice);
         return choice->executor;
     }
