--- /dev/null
+++ b/include/goldcrestgate/app/detail/metric_text.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace goldcrestgate::app::detail
+{
+
+/// @brief Appends one value in the text format of Prometheus.
+/// @param type `counter` or `gauge`
+/// @param name without the product's prefix
+/// @par Thread safety
+/// Safe to call from any thread for different texts.
+inline void add_value(std::string& out, std::string_view type,
+                      std::string_view name, std::uint64_t value)
+{
+    std::string const full = "goldcrestgate_" + std::string{name};
+    out += "# TYPE " + full + ' ' + std::string{type} + '\n';
+    out += full + ' ' + std::to_string(value) + '\n';
+}
+
+} // namespace goldcrestgate::app::detail
--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -80,7 +80,8 @@
     void send_heartbeats();
     void send_roster();
     void send_speeds();
-    void adopt_speeds(core::executor_speeds const& report);
+    void adopt_speeds(core::instance_id owner,
+                      core::executor_speeds const& report);
     void pass_configuration(core::instance_key const& peer,
                             core::owner_heartbeat const& heartbeat);
 
--- /dev/null
+++ b/programs/daemon_program.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "goldcrestgate/app/log.hpp"
+#include "goldcrestgate/app/version.hpp"
+#include "goldcrestgate/core/result.hpp"
+#include "goldcrestgate/io/event_loop.hpp"
+#include "goldcrestgate/io/signal_watch.hpp"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace goldcrestgate::programs
+{
+
+inline constexpr int exit_graceful = 0;
+inline constexpr int exit_failure = 1;
+inline constexpr int exit_usage = 2;
+inline constexpr int exit_forced = 3;
+
+/// Names the settings file when no option does.
+inline constexpr char const* settings_variable = "GOLDCRESTGATE_SETTINGS";
+
+/// @brief Command line, settings and life of a daemon.
+/// @tparam Daemon has the types `settings` and `instance` and the static
+/// members `name`, `title`, `read_settings`, `describe_settings`,
+/// `handle_signals` and `run`
+///
+/// @par Thread safety
+/// Not safe; there is one object in a process.
+template <typename Daemon>
+class daemon_program
+{
+public:
+    /// @brief Does what the command line asks for.
+    /// @return the exit code of the process
+    /// @par Thread safety
+    /// Not safe.
+    [[nodiscard]] static int main(int argc, char** argv)
+    {
+        auto options = make_options();
+        try
+        {
+            return run_command(options.parse(argc, argv), options);
+        }
+        catch (cxxopts::exceptions::exception const& failure)
+        {
+            std::cerr << failure.what() << '\n';
+            return exit_usage;
+        }
+    }
+
+private:
+    using settings_type = typename Daemon::settings;
+
+    static cxxopts::Options make_options()
+    {
+        cxxopts::Options options{Daemon::name, Daemon::title};
+        auto add = options.add_options();
+        add("settings",
+            "settings file (JSON with comments); default: the file that "
+            "GOLDCRESTGATE_SETTINGS names",
+            cxxopts::value<std::string>());
+        add("check", "check the settings file and end");
+        add("describe-settings", "print all keys of the settings file");
+        add("version", "print the version");
+        add("help", "print this text");
+        return options;
+    }
+
+    /// Returns the settings, or nothing after printing all faults.
+    static std::optional<settings_type> read_settings(std::string const& file)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> core::result<std::optional<settings_type>>
+            {
+                BOOST_LEAF_AUTO(check, Daemon::read_settings(file));
+                for (auto const& fault : check.faults)
+                {
+                    std::cerr << core::to_string(fault) << '\n';
+                }
+                return check.faults.empty() ? std::optional{check.settings}
+                                            : std::nullopt;
+            },
+            [](core::error const& failure) -> std::optional<settings_type>
+            {
+                std::cerr << core::to_string(failure) << '\n';
+                return std::nullopt;
+            },
+            []() -> std::optional<settings_type>
+            {
+                return std::nullopt;
+            });
+    }
+
+    static int run(settings_type const& settings)
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        Daemon::handle_signals();
+        io::event_loop loop;
+        typename Daemon::instance* running = nullptr;
+        // Before the logger, as its thread must not receive the signals.
+        io::signal_watch const signals{loop,
+                                       {SIGTERM, SIGINT},
+                                       [&running](int)
+                                       {
+                                           running->stop();
+                                       }};
+        app::logger log{settings.log_level, settings.log_queue_limit_lines};
+        typename Daemon::instance entry{loop, settings, log};
+        running = &entry;
+        return boost::leaf::try_handle_all(
+            [&]() -> core::result<int>
+            {
+                return Daemon::run(entry, log);
+            },
+            [&](core::error const& failure)
+            {
+                log.write(app::log_line{app::log_level::error, "start_failed"}
+                              .failure(failure));
+                return exit_failure;
+            },
+            [&](std::exception const& failure)
+            {
+                log.write(
+                    app::log_line{app::log_level::error, "internal_fault"}.text(
+                        "message", failure.what()));
+                return exit_failure;
+            },
+            []
+            {
+                return exit_failure;
+            });
+    }
+
+    static int run_command(cxxopts::ParseResult const& arguments,
+                           cxxopts::Options const& options)
+    {
+        if (arguments.count("help") > 0)
+        {
+            std::cout << options.help();
+            return exit_graceful;
+        }
+        if (arguments.count("version") > 0)
+        {
+            std::cout << app::version << '\n';
+            return exit_graceful;
+        }
+        if (arguments.count("describe-settings") > 0)
+        {
+            std::cout << Daemon::describe_settings();
+            return exit_graceful;
+        }
+        char const* const variable = std::getenv(settings_variable);
+        if (arguments.count("settings") == 0 && variable == nullptr)
+        {
+            std::cerr << options.help();
+            return exit_usage;
+        }
+        auto const settings =
+            read_settings(arguments.count("settings") > 0
+                              ? arguments["settings"].as<std::string>()
+                              : std::string{variable});
+        if (!settings)
+        {
+            return exit_usage;
+        }
+        return arguments.count("check") > 0 ? exit_graceful : run(*settings);
+    }
+};
+
+} // namespace goldcrestgate::programs
--- a/programs/goldcrestgate_entryd.cpp
+++ b/programs/goldcrestgate_entryd.cpp
@@ -1,163 +1,49 @@
+#include "daemon_program.hpp"
+
 #include "goldcrestgate/app/entry/entry_instance.hpp"
 #include "goldcrestgate/app/entry/entry_settings.hpp"
-#include "goldcrestgate/app/log.hpp"
-#include "goldcrestgate/app/version.hpp"
-#include "goldcrestgate/io/event_loop.hpp"
-#include "goldcrestgate/io/signal_watch.hpp"
-
-#include <cxxopts.hpp>
-
-#include <csignal>
-#include <cstdlib>
-#include <exception>
-#include <iostream>
-#include <optional>
-#include <string>
 
 namespace
 {
 
 using namespace goldcrestgate;
 
-constexpr int exit_graceful = 0;
-constexpr int exit_failure = 1;
-constexpr int exit_usage = 2;
-
-/// Names the settings file when no option does.
-constexpr char const* settings_variable = "GOLDCRESTGATE_SETTINGS";
-
-cxxopts::Options make_options()
+struct entry_daemon
 {
-    cxxopts::Options options{
-        "goldcrestgate_entryd",
-        "entry instance of goldcrestgate on a platform of leased executors"};
-    auto add = options.add_options();
-    add("settings",
-        "settings file (JSON with comments); default: the file that "
-        "GOLDCRESTGATE_SETTINGS names",
-        cxxopts::value<std::string>());
-    add("check", "check the settings file and end");
-    add("describe-settings", "print all keys of the settings file");
-    add("version", "print the version");
-    add("help", "print this text");
-    return options;
-}
+    using settings = app::entry_settings;
+    using instance = app::entry_instance;
 
-/// Returns the settings, or nothing after printing all faults.
-std::optional<app::entry_settings> read_settings(std::string const& file)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> core::result<std::optional<app::entry_settings>>
-        {
-            BOOST_LEAF_AUTO(check, app::read_entry_settings(file));
-            for (auto const& fault : check.faults)
-            {
-                std::cerr << core::to_string(fault) << '\n';
-            }
-            return check.faults.empty() ? std::optional{check.settings}
-                                        : std::nullopt;
-        },
-        [](core::error const& failure) -> std::optional<app::entry_settings>
-        {
-            std::cerr << core::to_string(failure) << '\n';
-            return std::nullopt;
-        },
-        []() -> std::optional<app::entry_settings>
-        {
-            return std::nullopt;
-        });
-}
-
-int run(app::entry_settings const& settings)
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    // The settings are read once; a change takes effect at the next start.
-    std::signal(SIGHUP, SIG_IGN);
-    io::event_loop loop;
-    app::entry_instance* running = nullptr;
-    // Before the logger, as its thread must not receive the signals.
-    io::signal_watch const signals{loop,
-                                   {SIGTERM, SIGINT},
-                                   [&running](int)
-                                   {
-                                       running->stop();
-                                   }};
-    app::logger log{settings.log_level, settings.log_queue_limit_lines};
-    app::entry_instance entry{loop, settings, log};
-    running = &entry;
-    return boost::leaf::try_handle_all(
-        [&]() -> core::result<int>
-        {
-            BOOST_LEAF_CHECK(entry.run());
-            return exit_graceful;
-        },
-        [&](core::error const& failure)
-        {
-            log.write(
-                app::log_line{app::log_level::error, "start_failed"}.failure(
-                    failure));
-            return exit_failure;
-        },
-        [&](std::exception const& failure)
-        {
-            log.write(
-                app::log_line{app::log_level::error, "internal_fault"}.text(
-                    "message", failure.what()));
-            return exit_failure;
-        },
-        []
-        {
-            return exit_failure;
-        });
-}
+    static constexpr char const* name = "goldcrestgate_entryd";
+    static constexpr char const* title =
+        "entry instance of goldcrestgate on a platform of leased executors";
 
-int run_command(cxxopts::ParseResult const& arguments,
-                cxxopts::Options const& options)
-{
-    if (arguments.count("help") > 0)
-    {
-        std::cout << options.help();
-        return exit_graceful;
-    }
-    if (arguments.count("version") > 0)
+    static core::result<app::entry_settings_check>
+    read_settings(std::string const& file)
     {
-        std::cout << app::version << '\n';
-        return exit_graceful;
+        return app::read_entry_settings(file);
     }
-    if (arguments.count("describe-settings") > 0)
+
+    static std::string describe_settings()
     {
-        std::cout << app::describe_entry_settings();
-        return exit_graceful;
+        return app::describe_entry_settings();
     }
-    char const* const variable = std::getenv(settings_variable);
-    if (arguments.count("settings") == 0 && variable == nullptr)
+
+    static void handle_signals()
     {
-        std::cerr << options.help();
-        return exit_usage;
+        // The settings are read once; a change takes effect at the next start.
+        std::signal(SIGHUP, SIG_IGN);
     }
-    auto const settings =
-        read_settings(arguments.count("settings") > 0
-                          ? arguments["settings"].as<std::string>()
-                          : std::string{variable});
-    if (!settings)
+
+    static core::result<int> run(instance& entry, app::logger&)
     {
-        return exit_usage;
+        BOOST_LEAF_CHECK(entry.run());
+        return programs::exit_graceful;
     }
-    return arguments.count("check") > 0 ? exit_graceful : run(*settings);
-}
+};
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    auto options = make_options();
-    try
-    {
-        return run_command(options.parse(argc, argv), options);
-    }
-    catch (cxxopts::exceptions::exception const& failure)
-    {
-        std::cerr << failure.what() << '\n';
-        return exit_usage;
-    }
+    return programs::daemon_program<entry_daemon>::main(argc, argv);
 }
--- a/programs/goldcrestgated.cpp
+++ b/programs/goldcrestgated.cpp
@@ -1,155 +1,50 @@
+#include "daemon_program.hpp"
+
 #include "goldcrestgate/app/instance.hpp"
 #include "goldcrestgate/app/instance_settings.hpp"
-#include "goldcrestgate/app/log.hpp"
-#include "goldcrestgate/app/version.hpp"
-#include "goldcrestgate/io/event_loop.hpp"
-#include "goldcrestgate/io/signal_watch.hpp"
-
-#include <cxxopts.hpp>
-
-#include <csignal>
-#include <exception>
-#include <iostream>
-#include <optional>
-#include <string>
 
 namespace
 {
 
 using namespace goldcrestgate;
 
-constexpr int exit_graceful = 0;
-constexpr int exit_failure = 1;
-constexpr int exit_usage = 2;
-constexpr int exit_forced = 3;
-
-cxxopts::Options make_options()
+struct dispatcher_daemon
 {
-    cxxopts::Options options{"goldcrestgated",
-                             "entry instance of goldcrestgate"};
-    auto add = options.add_options();
-    add("settings", "settings file (JSON with comments)",
-        cxxopts::value<std::string>());
-    add("check", "check the settings file and end");
-    add("describe-settings", "print all keys of the settings file");
-    add("version", "print the version");
-    add("help", "print this text");
-    return options;
-}
+    using settings = app::instance_settings;
+    using instance = app::instance;
 
-/// Returns the settings, or nothing after printing all faults.
-std::optional<app::instance_settings> read_settings(std::string const& file)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> core::result<std::optional<app::instance_settings>>
-        {
-            BOOST_LEAF_AUTO(check, app::read_instance_settings(file));
-            for (auto const& fault : check.faults)
-            {
-                std::cerr << core::to_string(fault) << '\n';
-            }
-            return check.faults.empty() ? std::optional{check.settings}
-                                        : std::nullopt;
-        },
-        [](core::error const& failure) -> std::optional<app::instance_settings>
-        {
-            std::cerr << core::to_string(failure) << '\n';
-            return std::nullopt;
-        },
-        []() -> std::optional<app::instance_settings>
-        {
-            return std::nullopt;
-        });
-}
+    static constexpr char const* name = "goldcrestgated";
+    static constexpr char const* title = "entry instance of goldcrestgate";
 
-int run(app::instance_settings const& settings)
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    io::event_loop loop;
-    app::instance* running = nullptr;
-    // Before the logger, as its thread must not receive the signals.
-    io::signal_watch const signals{loop,
-                                   {SIGTERM, SIGINT},
-                                   [&running](int)
-                                   {
-                                       running->stop();
-                                   }};
-    app::logger log{settings.log_level, settings.log_queue_limit_lines};
-    app::instance entry{loop, settings, log};
-    running = &entry;
-    return boost::leaf::try_handle_all(
-        [&]() -> core::result<int>
-        {
-            BOOST_LEAF_AUTO(ended, entry.run());
-            log.write(app::log_line{app::log_level::info, "stopped"}.flag(
-                "graceful", ended == app::stop_kind::graceful));
-            return ended == app::stop_kind::graceful ? exit_graceful
-                                                     : exit_forced;
-        },
-        [&](core::error const& failure)
-        {
-            log.write(
-                app::log_line{app::log_level::error, "start_failed"}.failure(
-                    failure));
-            return exit_failure;
-        },
-        [&](std::exception const& failure)
-        {
-            log.write(
-                app::log_line{app::log_level::error, "internal_fault"}.text(
-                    "message", failure.what()));
-            return exit_failure;
-        },
-        []
-        {
-            return exit_failure;
-        });
-}
-
-int run_command(cxxopts::ParseResult const& arguments,
-                cxxopts::Options const& options)
-{
-    if (arguments.count("help") > 0)
+    static core::result<app::settings_check<settings>>
+    read_settings(std::string const& file)
     {
-        std::cout << options.help();
-        return exit_graceful;
+        return app::read_instance_settings(file);
     }
-    if (arguments.count("version") > 0)
-    {
-        std::cout << app::version << '\n';
-        return exit_graceful;
-    }
-    if (arguments.count("describe-settings") > 0)
+
+    static std::string describe_settings()
     {
-        std::cout << app::describe_instance_settings();
-        return exit_graceful;
+        return app::describe_instance_settings();
     }
-    if (arguments.count("settings") == 0)
+
+    static void handle_signals()
     {
-        std::cerr << options.help();
-        return exit_usage;
+        // SIGHUP keeps its default effect.
     }
-    auto const settings =
-        read_settings(arguments["settings"].as<std::string>());
-    if (!settings)
+
+    static core::result<int> run(instance& entry, app::logger& log)
     {
-        return exit_usage;
+        BOOST_LEAF_AUTO(ended, entry.run());
+        bool const graceful = ended == app::stop_kind::graceful;
+        log.write(app::log_line{app::log_level::info, "stopped"}.flag(
+            "graceful", graceful));
+        return graceful ? programs::exit_graceful : programs::exit_forced;
     }
-    return arguments.count("check") > 0 ? exit_graceful : run(*settings);
-}
+};
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    auto options = make_options();
-    try
-    {
-        return run_command(options.parse(argc, argv), options);
-    }
-    catch (cxxopts::exceptions::exception const& failure)
-    {
-        std::cerr << failure.what() << '\n';
-        return exit_usage;
-    }
+    return programs::daemon_program<dispatcher_daemon>::main(argc, argv);
 }
--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/app/entry/entry_metrics.hpp"
 
+#include "goldcrestgate/app/detail/metric_text.hpp"
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
@@ -62,14 +64,6 @@
 
 using two_labels = std::pair<std::string_view, std::string_view>;
 
-void add_value(std::string& out, std::string_view type, std::string_view name,
-               std::uint64_t value)
-{
-    std::string const full = "goldcrestgate_" + std::string{name};
-    out += "# TYPE " + full + ' ' + std::string{type} + '\n';
-    out += full + ' ' + std::to_string(value) + '\n';
-}
-
 void add_counts(std::string& out, std::string_view name, two_labels labels,
                 std::map<two_labels, std::uint64_t> const& counts)
 {
@@ -133,22 +127,24 @@
                                   entry_figures const& figures) const
 {
     std::string out;
-    add_value(out, "gauge", "ready", figures.ready ? 1 : 0);
-    add_value(out, "gauge", "owner", figures.owner ? 1 : 0);
-    add_value(out, "gauge", "configuration_version",
-              figures.configuration_version);
-    add_value(out, "gauge", "caller_connections", figures.caller_connections);
-    add_value(out, "gauge", "peer_connections", figures.peer_connections);
-    add_value(out, "gauge", "open_jobs", figures.open_jobs);
-    add_value(out, "counter", "store_calls_total", figures.store_calls);
-    add_value(out, "counter", "log_lines_dropped_total",
-              figures.log_lines_dropped);
-    add_value(out, "gauge", "owned_jobs", load.jobs);
-    add_value(out, "gauge", "waiting_tasks", load.waiting_tasks);
-    add_value(out, "gauge", "active_runs", load.active_runs);
-    add_value(out, "gauge", "executors_listed", load.executors);
-    add_value(out, "gauge", "executors_claimed", load.claimed);
-    add_value(out, "gauge", "free_millicores", load.free_millicores);
+    detail::add_value(out, "gauge", "ready", figures.ready ? 1 : 0);
+    detail::add_value(out, "gauge", "owner", figures.owner ? 1 : 0);
+    detail::add_value(out, "gauge", "configuration_version",
+                      figures.configuration_version);
+    detail::add_value(out, "gauge", "caller_connections",
+                      figures.caller_connections);
+    detail::add_value(out, "gauge", "peer_connections",
+                      figures.peer_connections);
+    detail::add_value(out, "gauge", "open_jobs", figures.open_jobs);
+    detail::add_value(out, "counter", "store_calls_total", figures.store_calls);
+    detail::add_value(out, "counter", "log_lines_dropped_total",
+                      figures.log_lines_dropped);
+    detail::add_value(out, "gauge", "owned_jobs", load.jobs);
+    detail::add_value(out, "gauge", "waiting_tasks", load.waiting_tasks);
+    detail::add_value(out, "gauge", "active_runs", load.active_runs);
+    detail::add_value(out, "gauge", "executors_listed", load.executors);
+    detail::add_value(out, "gauge", "executors_claimed", load.claimed);
+    detail::add_value(out, "gauge", "free_millicores", load.free_millicores);
     add_counts(out, "answers_total", {"outcome", "reason"}, state_->answers);
     add_counts(out, "decisions_total", {"event", "reason"}, state_->decisions);
     add_counts(out, "orders_total", {"order", "outcome"}, state_->orders);
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -123,17 +123,25 @@
     }
 }
 
-void entry_instance::adopt_speeds(core::executor_speeds const& report)
+void entry_instance::adopt_speeds(core::instance_id owner,
+                                  core::executor_speeds const& report)
 {
+    std::int64_t adopted = 0;
     for (auto const& [name, slowdown, samples] : report.executors)
     {
         auto const id = directory_.find(name);
         // An executor that is not listed yet is learned anew.
-        if (id && !scheduler_.owns())
+        if (id && !scheduler_.owns() &&
+            scheduler_.adopt_speed(*id, {slowdown, samples}))
         {
-            scheduler_.adopt_speed(*id, {slowdown, samples});
+            ++adopted;
         }
     }
+    log_.write(log_line{log_level::info, "speeds_adopted"}
+                   .text("owner", format_instance(owner))
+                   .number("reported",
+                           static_cast<std::int64_t>(report.executors.size()))
+                   .number("adopted", adopted));
 }
 
 void entry_instance::on_peer_event(core::event&& event)
@@ -240,7 +248,7 @@
             },
             [&](core::executor_speeds const& report)
             {
-                adopt_speeds(report);
+                adopt_speeds(from.instance, report);
             },
             [&](core::peer_addresses const& addresses)
             {
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/app/metrics.hpp"
 
+#include "goldcrestgate/app/detail/metric_text.hpp"
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
@@ -63,14 +65,6 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
-void add_value(std::string& out, std::string_view type, std::string_view name,
-               std::uint64_t value)
-{
-    std::string const full = "goldcrestgate_" + std::string{name};
-    out += "# TYPE " + full + " " + std::string{type} + "\n";
-    out += full + " " + std::to_string(value) + "\n";
-}
-
 } // namespace
 
 struct metrics::state
@@ -110,31 +104,42 @@
                             process_figures const& figures) const
 {
     std::string out;
-    add_value(out, "gauge", "ready", figures.ready ? 1 : 0);
-    add_value(out, "gauge", "caller_connections", figures.caller_connections);
-    add_value(out, "gauge", "peer_connections", figures.peer_connections);
-    add_value(out, "gauge", "settings_version", figures.settings_version);
-    add_value(out, "counter", "log_lines_dropped_total",
-              figures.log_lines_dropped);
-    add_value(out, "gauge", "submissions", counts.submissions);
-    add_value(out, "gauge", "open_jobs", counts.open_jobs);
-    add_value(out, "gauge", "waiting_tasks", counts.waiting_tasks);
-    add_value(out, "gauge", "open_attempts", counts.open_attempts);
-    add_value(out, "gauge", "held_responses", counts.held_responses);
-    add_value(out, "counter", "jobs_accepted_total", counts.jobs_accepted);
-    add_value(out, "counter", "jobs_refused_total", counts.jobs_refused);
-    add_value(out, "counter", "jobs_done_total", counts.jobs_done);
-    add_value(out, "counter", "jobs_failed_total", counts.jobs_failed);
-    add_value(out, "counter", "jobs_cancelled_total", counts.jobs_cancelled);
-    add_value(out, "counter", "resubmissions_total", counts.resubmissions);
-    add_value(out, "counter", "first_starts_total", counts.first_starts);
-    add_value(out, "counter", "retries_total", counts.retries);
-    add_value(out, "counter", "hedges_total", counts.hedges);
-    add_value(out, "counter", "refused_starts_total", counts.refused_starts);
-    add_value(out, "counter", "lost_attempts_total", counts.lost_attempts);
-    add_value(out, "counter", "cancels_total", counts.cancels);
-    add_value(out, "counter", "late_answers_total", counts.late_answers);
-    add_value(out, "counter", "forwards_total", counts.forwards);
+    detail::add_value(out, "gauge", "ready", figures.ready ? 1 : 0);
+    detail::add_value(out, "gauge", "caller_connections",
+                      figures.caller_connections);
+    detail::add_value(out, "gauge", "peer_connections",
+                      figures.peer_connections);
+    detail::add_value(out, "gauge", "settings_version",
+                      figures.settings_version);
+    detail::add_value(out, "counter", "log_lines_dropped_total",
+                      figures.log_lines_dropped);
+    detail::add_value(out, "gauge", "submissions", counts.submissions);
+    detail::add_value(out, "gauge", "open_jobs", counts.open_jobs);
+    detail::add_value(out, "gauge", "waiting_tasks", counts.waiting_tasks);
+    detail::add_value(out, "gauge", "open_attempts", counts.open_attempts);
+    detail::add_value(out, "gauge", "held_responses", counts.held_responses);
+    detail::add_value(out, "counter", "jobs_accepted_total",
+                      counts.jobs_accepted);
+    detail::add_value(out, "counter", "jobs_refused_total",
+                      counts.jobs_refused);
+    detail::add_value(out, "counter", "jobs_done_total", counts.jobs_done);
+    detail::add_value(out, "counter", "jobs_failed_total", counts.jobs_failed);
+    detail::add_value(out, "counter", "jobs_cancelled_total",
+                      counts.jobs_cancelled);
+    detail::add_value(out, "counter", "resubmissions_total",
+                      counts.resubmissions);
+    detail::add_value(out, "counter", "first_starts_total",
+                      counts.first_starts);
+    detail::add_value(out, "counter", "retries_total", counts.retries);
+    detail::add_value(out, "counter", "hedges_total", counts.hedges);
+    detail::add_value(out, "counter", "refused_starts_total",
+                      counts.refused_starts);
+    detail::add_value(out, "counter", "lost_attempts_total",
+                      counts.lost_attempts);
+    detail::add_value(out, "counter", "cancels_total", counts.cancels);
+    detail::add_value(out, "counter", "late_answers_total",
+                      counts.late_answers);
+    detail::add_value(out, "counter", "forwards_total", counts.forwards);
     out += "# TYPE goldcrestgate_attempts_total counter\n";
     for (auto const& [outcome, count] : state_->outcomes)
     {
--- /dev/null
+++ b/src/wire/leasing_decoder.cpp
@@ -0,0 +1,173 @@
+#include "goldcrestgate/wire/detail/leasing_decoder.hpp"
+
+#include "goldcrestgate/core/submission/answer.hpp"
+
+#include <utility>
+
+namespace goldcrestgate::wire::detail
+{
+
+namespace
+{
+
+std::optional<core::task_group> decode_group(TaskGroup const& source)
+{
+    auto const* const label = source.required_label();
+    auto const* const rack = source.preferred_rack();
+    if (!core::is_utf8(label->string_view()) ||
+        !core::is_utf8(rack->string_view()) || source.estimate_us() < 0)
+    {
+        return std::nullopt;
+    }
+    auto const& each = *source.each_task();
+    core::task_group group;
+    group.task_count = source.task_count();
+    group.each_task = {each.cpu_millicores(), each.memory_mb(),
+                       each.accelerators()};
+    group.estimate = core::duration{source.estimate_us()};
+    group.required_label = label->str();
+    group.preferred_rack = rack->str();
+    group.max_per_executor = source.max_per_executor();
+    group.after.assign(source.after()->begin(), source.after()->end());
+    return group;
+}
+
+} // namespace
+
+std::optional<core::peer_message> decode(JobOffer const& source)
+{
+    bool const valid = core::is_utf8(source.service()->string_view()) &&
+                       core::is_utf8(source.payload()->string_view()) &&
+                       source.objective_us() >= 0 &&
+                       source.time_limit_us() >= 0 && source.elapsed_us() >= 0;
+    if (!valid)
+    {
+        return std::nullopt;
+    }
+    core::job_offer message;
+    auto& job = message.job;
+    job.id = core::client_job_id{source.job()};
+    job.service = source.service()->str();
+    job.payload = source.payload()->str();
+    for (auto const* const group : *source.groups())
+    {
+        auto decoded_group = decode_group(*group);
+        if (!decoded_group)
+        {
+            return std::nullopt;
+        }
+        // Groups depend on earlier ones only, so that none waits for itself.
+        for (auto const earlier : decoded_group->after)
+        {
+            if (earlier >= job.groups.size())
+            {
+                return std::nullopt;
+            }
+        }
+        job.groups.push_back(std::move(*decoded_group));
+    }
+    job.max_attempts = source.max_attempts();
+    job.priority = source.priority();
+    job.objective = core::duration{source.objective_us()};
+    job.time_limit = core::duration{source.time_limit_us()};
+    message.elapsed = core::duration{source.elapsed_us()};
+    message.resumed = source.resumed();
+    return message;
+}
+
+std::optional<core::peer_message> decode(JobWithdrawal const& source)
+{
+    return core::job_withdrawal{core::client_job_id{source.job()}};
+}
+
+std::optional<core::peer_message> decode(JobVerdict const& source)
+{
+    constexpr auto last =
+        static_cast<std::uint8_t>(core::job_outcome::not_owner);
+    if (source.outcome() > last || source.retry_after_us() < 0)
+    {
+        return std::nullopt;
+    }
+    return core::job_verdict{core::client_job_id{source.job()},
+                             static_cast<core::job_outcome>(source.outcome()),
+                             core::duration{source.retry_after_us()}};
+}
+
+std::optional<core::peer_message> decode(OwnerHeartbeat const& source)
+{
+    if (source.expected_wait_us() < 0 || source.time_to_claim_us() < 0)
+    {
+        return std::nullopt;
+    }
+    core::owner_heartbeat message;
+    message.term = source.term();
+    message.highest_term = source.highest_term();
+    message.weight = source.weight();
+    message.leaving = source.leaving();
+    message.free_millicores = source.free_millicores();
+    message.expected_wait = core::duration{source.expected_wait_us()};
+    message.configuration_version = source.configuration_version();
+    message.time_to_claim = core::duration{source.time_to_claim_us()};
+    return message;
+}
+
+std::optional<core::peer_message> decode(ExecutorSpeeds const& source)
+{
+    core::executor_speeds message;
+    for (auto const* const entry : *source.executors())
+    {
+        // Comparisons with a value that is not a number are false.
+        if (!(entry->slowdown() > 0.0) || !(entry->samples() >= 0.0))
+        {
+            return std::nullopt;
+        }
+        message.executors.push_back(
+            {entry->name()->str(), entry->slowdown(), entry->samples()});
+    }
+    return message;
+}
+
+std::optional<core::peer_message> decode(ExecutorRoster const& source)
+{
+    core::executor_roster message;
+    message.term = source.term();
+    for (auto const* const entry : *source.executors())
+    {
+        auto const& capacity = *entry->capacity();
+        core::executor_description executor;
+        executor.name = entry->name()->str();
+        executor.address = entry->address()->str();
+        executor.service = entry->service()->str();
+        executor.domain = core::domain_id{entry->domain()};
+        executor.capacity = {capacity.cpu_millicores(), capacity.memory_mb(),
+                             capacity.accelerators()};
+        executor.draining = entry->draining();
+        executor.incarnation = entry->incarnation();
+        for (auto const* const label : *entry->labels())
+        {
+            executor.labels.push_back(label->str());
+        }
+        message.executors.push_back(std::move(executor));
+    }
+    return message;
+}
+
+std::optional<core::peer_message> decode(PeerAddresses const& source)
+{
+    core::peer_addresses message;
+    for (auto const* const address : *source.addresses())
+    {
+        message.addresses.push_back(address->str());
+    }
+    return message;
+}
+
+std::optional<core::peer_message> decode(PublishedConfiguration const& source)
+{
+    auto const& bytes = *source.document();
+    return core::published_configuration{
+        source.version(),
+        {reinterpret_cast<char const*>(bytes.data()), bytes.size()}};
+}
+
+} // namespace goldcrestgate::wire::detail
