Keep executors while the store is away; move tasks off slow executors when room comes

A started job with a waiting task that no executor can end in time kept its caller until the limit.

Change: nothing expires until the store's entries are read. A task is moved if any executor will have room in time; its work is judged by the estimate and the other tasks of its group; it is not placed on the same executor again, and the executor's speed is learned from the progress. Jobs that wait in vain end early.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -143,7 +143,6 @@
     bool roster_changed_ = false;
     core::speed_report speed_report_;
     core::time_point speeds_sent_at_{};
-    core::time_point store_reachable_since_{};
     bool ready_logged_ = false;
     bool stopping_ = false;
     bool callers_closed_ = false;
--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -55,10 +55,15 @@
     [[nodiscard]] std::optional<core::executor_id>
     find(std::string_view name) const;
 
-    /// @brief Drops what is missing for too long.
-    /// @param store_reachable_since since when the store answers; executors
-    /// that went missing while it did not get the whole time from then on
-    void expire(core::time_point now, core::time_point store_reachable_since);
+    /// @brief The store does not answer; nothing is dropped until it names its
+    /// entries again.
+    void store_lost()
+    {
+        readable_since_.reset();
+    }
+
+    /// @brief Drops what is missing for too long while the store answers.
+    void expire(core::time_point now);
 
     [[nodiscard]] std::size_t size() const
     {
@@ -81,6 +86,8 @@
     directory_sinks sinks_;
     std::unordered_map<std::string, entry> entries_;
     std::uint32_t last_id_ = 0;
+    /// Since when the store's entries are read without a failure.
+    std::optional<core::time_point> readable_since_;
 };
 
 } // namespace goldcrestgate::app
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -129,6 +129,8 @@
     std::uint16_t failures = 0;
     std::uint32_t last_execution = 0;
     std::optional<executor_id> failed_on;
+    /// Where the task has failed or was too slow last.
+    std::optional<executor_id> avoided;
 };
 
 struct group_record
@@ -293,10 +295,23 @@
                                   time_point now) const;
     [[nodiscard]] static bool is_stalled(run_record const& run);
     void give_up_hopeless(scheduler_turn& turn);
-    [[nodiscard]] bool faster_elsewhere(executor_record const& executor,
-                                        run_record const& run,
-                                        job_record const& job,
-                                        time_point now) const;
+    /// Stops a run, for its task to be started elsewhere.
+    void move_run(executor_record& executor, run_record& run, job_record& job,
+                  scheduler_turn& turn);
+    /// When an executor has room at the earliest; it may not suffice then.
+    [[nodiscard]] static time_point room_at(executor_record const& executor,
+                                            resource_amounts const& amounts,
+                                            time_point now);
+    /// Run time of a task on an executor of average speed, judged by its
+    /// progress.
+    [[nodiscard]] duration likely_work(executor_record const& executor,
+                                       run_record const& run,
+                                       task_group const& group) const;
+    /// Whether another executor can end a run before its caller leaves.
+    [[nodiscard]] bool ends_elsewhere(executor_record const& executor,
+                                      run_record const& run,
+                                      job_record const& job,
+                                      time_point now) const;
     void tick(scheduler_turn& turn);
     [[nodiscard]] bool claims_settled(time_point now) const;
     [[nodiscard]] duration lapse_time() const;
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -371,7 +371,7 @@
             peers_.apply(core::connect_peer{{}, silent, known_peers_[silent]});
         }
     }
-    directory_.expire(now, store_reachable_since_);
+    directory_.expire(now);
     decide_ownership();
     send_roster();
     send_speeds();
--- a/src/app/entry/entry_platform.cpp
+++ b/src/app/entry/entry_platform.cpp
@@ -28,7 +28,6 @@
             },
             [this, name]
             {
-                store_reachable_since_ = loop_.now();
                 log_.write(log_line{log_level::info, "store_regained"}.text(
                     "topic", name));
             }};
@@ -45,6 +44,12 @@
     {
         directory_.replace(page, loop_.now());
     };
+    sinks.failed =
+        [this, logged = std::move(sinks.failed)](core::error const& failure)
+    {
+        directory_.store_lost();
+        logged(failure);
+    };
     return sinks;
 }
 
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -46,6 +46,7 @@
 void executor_directory::update(adapter::topic_page const& page,
                                 core::time_point now)
 {
+    readable_since_ = readable_since_.value_or(now);
     for (auto const& record : page.records)
     {
         apply(record, now);
@@ -133,16 +134,19 @@
     return all;
 }
 
-void executor_directory::expire(core::time_point now,
-                                core::time_point store_reachable_since)
+void executor_directory::expire(core::time_point now)
 {
+    if (!readable_since_)
+    {
+        return;
+    }
     std::erase_if(entries_,
-                  [&](auto const& named)
+                  [this, now](auto const& named)
                   {
                       auto const& missing = named.second.missing_since;
                       bool const gone =
                           missing &&
-                          now - std::max(*missing, store_reachable_since) >
+                          now - std::max(*missing, *readable_since_) >
                               missing_patience;
                       if (gone)
                       {
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -72,6 +72,21 @@
                                });
 }
 
+/// Returns whether a waiting task is too late even for the fastest executor.
+bool waits_in_vain(job_record const& job, double fastest, time_point now)
+{
+    for (std::size_t i = 0; i < job.groups.size(); ++i)
+    {
+        auto const run = scale_duration(job.job.groups[i].estimate,
+                                        fastest * hopeless_margin);
+        if (job.groups[i].waiting > 0 && now + run > job.limit)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 void scheduler_state::offer(instance_id origin, job_offer const& offered,
@@ -249,6 +264,7 @@
     note.count = ++task.failures;
     turn.out.emplace_back(note);
     task.failed_on = executor.id;
+    task.avoided = executor.id;
     if (task.failures >= job.job.max_attempts)
     {
         close(run.run.task.job, job_outcome::failed, {}, "attempts_used", turn);
@@ -285,6 +301,10 @@
         {
             ended.emplace_back(id, "objective_missed");
         }
+        else if (!job.awaits_claims && waits_in_vain(job, fastest, turn.now))
+        {
+            ended.emplace_back(id, "cannot_end_in_time");
+        }
     }
     for (auto const& [id, reason] : ended)
     {
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -172,7 +172,7 @@
             continue;
         }
         request.avoided =
-            executors.size() > 1 ? tasks[index].failed_on : std::nullopt;
+            executors.size() > 1 ? tasks[index].avoided : std::nullopt;
         auto const choice = choose_executor(candidates, request);
         if (!choice)
         {
--- a/src/core/leasing/scheduler_progress.cpp
+++ b/src/core/leasing/scheduler_progress.cpp
@@ -99,30 +99,100 @@
            scale_duration(run.expected, stall_factor) + stall_margin;
 }
 
-bool scheduler_state::faster_elsewhere(executor_record const& executor,
-                                       run_record const& run,
-                                       job_record const& job,
-                                       time_point now) const
+time_point scheduler_state::room_at(executor_record const& executor,
+                                    resource_amounts const& amounts,
+                                    time_point now)
+{
+    auto free = executor.description.capacity;
+    free -= executor.used;
+    if (amounts.fits_into(free))
+    {
+        return now;
+    }
+    auto earliest = time_point::max();
+    for (auto const& run : executor.runs)
+    {
+        auto const end = run.ends_at.value_or(run.sent_at + run.expected);
+        earliest = std::min(earliest, std::max(end, now));
+    }
+    return earliest;
+}
+
+// A task that exceeds its estimate by more than estimates are wrong, or that
+// lags behind the other tasks of its group, is on a slow executor.
+duration scheduler_state::likely_work(executor_record const& executor,
+                                      run_record const& run,
+                                      task_group const& group) const
+{
+    auto const normalized =
+        [&](executor_record const& host, run_record const& seen)
+    {
+        double const slowdown =
+            speeds.slowdown(host.id) * rack_factor(host.description, group);
+        return scale_duration(*seen.ends_at - seen.sent_at, 1.0 / slowdown);
+    };
+    auto work = std::min(normalized(executor, run),
+                         scale_duration(group.estimate, limit_margin));
+    for (auto const& [id, host] : executors)
+    {
+        for (auto const& other : host.runs)
+        {
+            bool const is_sibling = other.run.task.job == run.run.task.job &&
+                                    other.run.task.group == run.run.task.group;
+            if (is_sibling && other.ends_at)
+            {
+                work = std::min(work, normalized(host, other));
+            }
+        }
+    }
+    return work;
+}
+
+bool scheduler_state::ends_elsewhere(executor_record const& executor,
+                                     run_record const& run,
+                                     job_record const& job,
+                                     time_point now) const
 {
-    auto const total = *run.ends_at - run.sent_at;
     auto const& group = job.job.groups[run.run.task.group];
-    double const here =
-        speeds.slowdown(executor.id) * rack_factor(executor.description, group);
+    auto const work = likely_work(executor, run, group);
     return std::ranges::any_of(
         executors,
         [&](auto const& entry)
         {
             auto const& [id, other] = entry;
-            auto free = other.description.capacity;
-            free -= other.used;
+            if (id == executor.id || !serves(other, job.job.service, now) ||
+                !run.amounts.fits_into(other.description.capacity))
+            {
+                return false;
+            }
             double const slowdown =
                 speeds.slowdown(id) * rack_factor(other.description, group);
-            auto const there = scale_duration(total, slowdown / here);
-            return id != executor.id && serves(other, job.job.service, now) &&
-                   run.amounts.fits_into(free) && now + there < job.limit;
+            return room_at(other, run.amounts, now) +
+                       scale_duration(work, slowdown) <
+                   job.limit;
         });
 }
 
+// The run's progress also tells the speed of the executor, which is not
+// observed otherwise, as the run does not end there.
+void scheduler_state::move_run(executor_record& executor, run_record& run,
+                               job_record& job, scheduler_turn& turn)
+{
+    auto const total = *run.ends_at - run.sent_at;
+    auto const& task = run.run.task;
+    scheduling_note note{.event = "run_moved",
+                         .job = task.job,
+                         .run = run.run,
+                         .executor = executor.id,
+                         .reason = "too_slow"};
+    note.slack = job.limit - turn.now;
+    note.run_time = total;
+    turn.out.emplace_back(note);
+    speeds.observe(executor.id, run.estimate, total);
+    job.groups[task.group].tasks[task.index].avoided = executor.id;
+    request_stop(executor, run, turn);
+}
+
 // Work that cannot end before its caller leaves is given up as soon as its
 // progress shows that: the caller hears of it early, and the room serves
 // others.
@@ -140,17 +210,9 @@
             {
                 continue;
             }
-            if (faster_elsewhere(executor, run, found->second, turn.now))
+            if (ends_elsewhere(executor, run, found->second, turn.now))
             {
-                scheduling_note note{.event = "run_moved",
-                                     .job = found->first,
-                                     .run = run.run,
-                                     .executor = id,
-                                     .reason = "too_slow"};
-                note.slack = found->second.limit - turn.now;
-                note.run_time = *run.ends_at - run.sent_at;
-                turn.out.emplace_back(note);
-                request_stop(executor, run, turn);
+                move_run(executor, run, found->second, turn);
             }
             else
             {
--- a/tests/unit/job_scheduler.cpp
+++ b/tests/unit/job_scheduler.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(failing_executor_costs_no_job);
     CPPUNIT_TEST(task_that_always_fails_ends_the_job_only);
     CPPUNIT_TEST(hopeless_job_is_given_up_early);
+    CPPUNIT_TEST(slow_run_moves_when_room_comes);
+    CPPUNIT_TEST(task_without_time_ends_the_job_early);
     CPPUNIT_TEST(overload_is_rejected_at_once);
     CPPUNIT_TEST(fenced_owner_reports_nothing);
     CPPUNIT_TEST(repeated_offer_gets_the_same_verdict);
@@ -216,6 +218,43 @@
         expect(owner, 7, job_outcome::abandoned);
     }
 
+    // Guards against jobs that are given up as their executor is slow and the
+    // others are full for the moment: kpc-rollworks inc-96d8.
+    void slow_run_moves_when_room_comes()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        start_owner(fleet, owner, 1);
+        submit(fleet, owner, 1, 1, milliseconds{300});
+        fleet.run_for(milliseconds{10});
+        auto const first = fleet.running(client_job_id{1}, executor_id{1}) > 0
+                               ? executor_id{1}
+                               : executor_id{2};
+        // The tasks that are started from now on make slow progress there.
+        fleet.behaviour(first).slowdown = 6.0;
+        submit(fleet, owner, 2, 3, milliseconds{350});
+        fleet.run_for(milliseconds{1500});
+        expect(owner, 2, job_outcome::completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.double_runs);
+    }
+
+    // Guards against a caller that waits until its limit for a task which lost
+    // its executor and is too long to be run again.
+    void task_without_time_ends_the_job_early()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        start_owner(fleet, owner, 1);
+        submit(fleet, owner, 7, 1, milliseconds{950});
+        fleet.run_for(milliseconds{700});
+        for (auto const id : fleet.ids())
+        {
+            fleet.behaviour(id).fails_tasks = true;
+        }
+        fleet.run_for(milliseconds{300});
+        expect(owner, 7, job_outcome::abandoned);
+    }
+
     // Guards against jobs that wait for room until their caller leaves, and
     // against a rejection of a job that has started.
     void overload_is_rejected_at_once()
