--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -143,11 +143,11 @@
 void scheduler_state::place_job(job_record& job, double fastest,
                                 scheduler_turn& turn)
 {
-    for (std::uint16_t group = 0; group < job.groups.size(); ++group)
+    for (std::size_t group = 0; group < job.groups.size(); ++group)
     {
         if (job.groups[group].waiting > 0)
         {
-            place_group(job, group, fastest, turn);
+            place_group(job, static_cast<std::uint16_t>(group), fastest, turn);
         }
     }
 }
@@ -165,8 +165,9 @@
     request.to_limit = job.limit - turn.now;
     request.waited = turn.now - (job.limit - job.job.time_limit);
     request.fastest_slowdown = fastest;
-    for (std::uint16_t index = 0; index < tasks.size(); ++index)
+    for (std::size_t i = 0; i < tasks.size(); ++i)
     {
+        auto const index = static_cast<std::uint16_t>(i);
         if (tasks[index].phase != task_phase::waiting)
         {
             continue;
