--- a/include/goldcrestgate/core/leasing/placement.hpp
+++ b/include/goldcrestgate/core/leasing/placement.hpp
@@ -60,7 +60,7 @@
 struct placement_request : placement_times
 {
     resource_amounts demand;
-    /// An executor on which the task has failed before.
+    /// An executor on which the task has failed or was too slow before.
     std::optional<executor_id> avoided;
 };
 
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -94,7 +94,7 @@
     }
 }
 
-// Speeds change slowly, so that most reports are empty after a while.
+// A report names the executors whose speed has changed, mostly a few.
 void entry_instance::send_speeds()
 {
     auto const now = loop_.now();
