Judge the work of a lagging run by the longest of the other tasks

Cause: a run that would miss the limit by little was moved, as its work was taken from the shortest task of its group, and started from zero without a chance.

Change: the run's own progress counts, unless it lags 1.3 times behind the longest other task, or has no other task and exceeds 1.8 estimates.

No test of its own yet.

--- a/src/core/leasing/scheduler_progress.cpp
+++ b/src/core/leasing/scheduler_progress.cpp
@@ -27,6 +27,9 @@
 /// From here on the end is known to about 3%.
 constexpr std::uint32_t settled_progress_percent = 30;
 
+/// Tasks of a group differ by 15%, and learned speeds by a few percent.
+constexpr double sibling_excess = 1.3;
+
 } // namespace
 
 void scheduler_state::note_progress(executor_record& executor,
@@ -118,8 +121,9 @@
     return earliest;
 }
 
-// A task that exceeds its estimate by more than estimates are wrong, or that
-// lags behind the other tasks of its group, is on a slow executor.
+// A run that lags far behind the other tasks of its group, or exceeds its
+// estimate by more than estimates are wrong, is on a slow executor. Otherwise
+// its progress is the best figure there is.
 duration scheduler_state::likely_work(executor_record const& executor,
                                       run_record const& run,
                                       task_group const& group) const
@@ -131,21 +135,28 @@
             speeds.slowdown(host.id) * rack_factor(host.description, group);
         return scale_duration(*seen.ends_at - seen.sent_at, 1.0 / slowdown);
     };
-    auto work = std::min(normalized(executor, run),
-                         scale_duration(group.estimate, limit_margin));
+    duration longest_sibling{};
     for (auto const& [id, host] : executors)
     {
         for (auto const& other : host.runs)
         {
-            bool const is_sibling = other.run.task.job == run.run.task.job &&
-                                    other.run.task.group == run.run.task.group;
+            bool const is_sibling =
+                other.run.task.job == run.run.task.job &&
+                other.run.task.group == run.run.task.group &&
+                other.run != run.run;
             if (is_sibling && other.ends_at)
             {
-                work = std::min(work, normalized(host, other));
+                longest_sibling =
+                    std::max(longest_sibling, normalized(host, other));
             }
         }
     }
-    return work;
+    auto const own = normalized(executor, run);
+    auto const usual_limit =
+        longest_sibling > duration{}
+            ? scale_duration(longest_sibling, sibling_excess)
+            : scale_duration(group.estimate, limit_margin);
+    return std::min(own, usual_limit);
 }
 
 bool scheduler_state::ends_elsewhere(executor_record const& executor,
