Sum up waiting work without a queue and keep one copy of scheduler steps

Read-through of the change. The ranges are now collected once for all services, and sums need no order. One copy each: free room and expected slowdown of an executor, what an answer to an order is about, the loss that an answer tells, a run that only the executor knows, a task that waits. A request for a placement is one struct in place of two.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -111,6 +111,14 @@
     resource_amounts used;
     std::vector<run_record> runs;
     executor_health health;
+
+    /// Room that no run takes.
+    [[nodiscard]] resource_amounts room() const
+    {
+        auto room = description.capacity;
+        room -= used;
+        return room;
+    }
 };
 
 /// What a task of a job waits for.
@@ -164,13 +172,11 @@
     time_point forget_at{};
 };
 
-/// @brief A job in the order in which waiting jobs are served.
-struct queue_entry
+/// @brief The run that an answer is about.
+struct answered_order
 {
-    serving_position position;
-    time_point latest_start{};
-    /// CPU time of its waiting tasks in millicore-seconds.
-    double work = 0.0;
+    executor_record& executor;
+    run_record& run;
 };
 
 /// @brief The least and the greatest slowdown of the usable executors; 1 if
@@ -216,6 +222,9 @@
     static void note_placement(job_record const& job, leased_task const& task,
                                placement_choice const& choice,
                                scheduler_turn& turn);
+    /// How many times longer than estimated a task of the group takes there.
+    [[nodiscard]] double expected_slowdown(executor_record const& executor,
+                                           task_group const& group) const;
     /// How many times longer a task of the group takes in the executor's rack.
     [[nodiscard]] double rack_factor(executor_description const& description,
                                      task_group const& group) const;
@@ -238,15 +247,13 @@
     [[nodiscard]] double usable_millicores(std::string_view service,
                                            time_point now,
                                            double slowest) const;
-    /// Jobs with waiting tasks, in the order in which they are served.
-    [[nodiscard]] std::vector<queue_entry>
-    waiting_queue(std::string_view service, time_point now) const;
     [[nodiscard]] static serving_position
     position_of(job_record const& job, time_point now, double slowest);
     [[nodiscard]] duration expected_wait(std::string_view service,
                                          time_point now) const;
-    [[nodiscard]] slowdown_range slowdowns(std::string_view service,
-                                           time_point now) const;
+    /// By service; services without a usable executor are missing.
+    [[nodiscard]] std::map<std::string_view, slowdown_range>
+    slowdowns(time_point now) const;
     /// The moment at which the job must begin to meet its objective.
     [[nodiscard]] static time_point latest_start(job_record const& job);
     [[nodiscard]] static bool needs_fast(job_record const& job, time_point now,
@@ -258,6 +265,13 @@
                scheduler_turn& turn);
     void request_stop(executor_record& executor, run_record& run,
                       scheduler_turn& turn);
+    /// Finds what an answer is about and notes the executor's clock; nothing
+    /// if it concerns nothing that is known.
+    [[nodiscard]] std::optional<answered_order>
+    find_answered(order_answer const& answer, time_point now);
+    /// Returns whether the answer tells that the executor is lost.
+    bool lose_by_answer(executor_record& executor, order_outcome outcome,
+                        scheduler_turn& turn);
     void start_answered(order_answer const& answer, scheduler_turn& turn);
     void stop_answered(order_answer const& answer, scheduler_turn& turn);
     /// Whether the executor has answered an order since a time.
@@ -281,6 +295,11 @@
     void hold_answered(hold_answer const& answer, scheduler_turn& turn);
     void hold_failed(executor_record& executor, order_outcome outcome,
                      time_point sent_at, scheduler_turn& turn);
+    /// Adds a run that only the executor knows; it is stopped at the given
+    /// time unless its job is offered before.
+    static run_record& add_listed(executor_record& executor,
+                                  task_run const& run, time_point now,
+                                  time_point orphan_until);
     void claim_answered(executor_record& executor, hold_answer const& answer,
                         scheduler_turn& turn);
     void apply_ends(executor_record& executor, hold_answer const& answer,
--- a/include/goldcrestgate/core/leasing/placement.hpp
+++ b/include/goldcrestgate/core/leasing/placement.hpp
@@ -40,9 +40,10 @@
     std::uint32_t candidates = 0;
 };
 
-/// @brief How long a task may take.
-struct placement_times
+/// @brief A task that is to be placed.
+struct placement_request
 {
+    resource_amounts demand;
     /// The client's estimate of the run time.
     duration estimate{};
     /// Until the objective; may be negative.
@@ -54,12 +55,6 @@
     /// The least slowdown of all executors that may run the task, those
     /// without room included.
     double fastest_slowdown = 1.0;
-};
-
-/// @brief A task that is to be placed.
-struct placement_request : placement_times
-{
-    resource_amounts demand;
     /// An executor on which the task has failed or was too slow before.
     std::optional<executor_id> avoided;
 };
@@ -83,10 +78,12 @@
 inline constexpr double hopeless_margin = 0.65;
 
 /// @brief Returns whether some executors are too slow for a task.
+/// @param estimate the client's estimate of the run time
+/// @param to_limit until the caller stops waiting
 /// @param slowest_slowdown the greatest slowdown of all executors
 /// @par Thread safety
 /// Safe to call from any thread.
-[[nodiscard]] bool needs_fast_executor(placement_times const& times,
+[[nodiscard]] bool needs_fast_executor(duration estimate, duration to_limit,
                                        double slowest_slowdown);
 
 /// @brief Chooses the executor of one task.
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -238,9 +238,7 @@
         load.claimed += executor.claimed ? 1 : 0;
         if (state_.owner && state_.accepts(executor, now))
         {
-            auto free = executor.description.capacity;
-            free -= executor.used;
-            load.free_millicores += free.cpu_millicores;
+            load.free_millicores += executor.room().cpu_millicores;
         }
     }
     load.expected_wait = state_.expected_wait({}, now);
--- a/src/core/leasing/placement.cpp
+++ b/src/core/leasing/placement.cpp
@@ -35,11 +35,11 @@
 
 } // namespace
 
-bool needs_fast_executor(placement_times const& times, double slowest_slowdown)
+bool needs_fast_executor(duration estimate, duration to_limit,
+                         double slowest_slowdown)
 {
-    return detail::scale_duration(times.estimate,
-                                  slowest_slowdown * limit_margin) >
-           times.to_limit;
+    return detail::scale_duration(estimate, slowest_slowdown * limit_margin) >
+           to_limit;
 }
 
 std::optional<placement_choice>
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -22,6 +22,17 @@
            group.each_task.cpu_millicores;
 }
 
+/// Returns the CPU time of the waiting tasks in millicore-seconds.
+double waiting_work(job_record const& job)
+{
+    double work = 0.0;
+    for (std::size_t i = 0; i < job.groups.size(); ++i)
+    {
+        work += job.groups[i].waiting * cpu_work(job.job.groups[i]);
+    }
+    return work;
+}
+
 } // namespace
 
 bool scheduler_state::serves(executor_record const& executor,
@@ -54,32 +65,6 @@
                              now);
 }
 
-std::vector<queue_entry>
-scheduler_state::waiting_queue(std::string_view service, time_point now) const
-{
-    double const slowest = slowdowns(service, now).slowest;
-    std::vector<queue_entry> queue;
-    for (auto const& [id, job] : jobs)
-    {
-        if (!service.empty() && job.job.service != service)
-        {
-            continue;
-        }
-        double work = 0.0;
-        for (std::size_t i = 0; i < job.groups.size(); ++i)
-        {
-            work += job.groups[i].waiting * cpu_work(job.job.groups[i]);
-        }
-        if (work > 0.0)
-        {
-            queue.push_back(
-                {position_of(job, now, slowest), latest_start(job), work});
-        }
-    }
-    std::ranges::sort(queue, {}, &queue_entry::position);
-    return queue;
-}
-
 duration scheduler_state::expected_wait(std::string_view service,
                                         time_point now) const
 {
@@ -89,28 +74,37 @@
     double const usable =
         std::max(usable_millicores(service, now, slowest), 1.0);
     double work = 0.0;
-    for (auto const& entry : waiting_queue(service, now))
+    for (auto const& [id, job] : jobs)
     {
-        work += entry.work;
+        if (service.empty() || job.job.service == service)
+        {
+            work += waiting_work(job);
+        }
     }
     double const wait_s = work / usable;
     return duration{
         std::llround(std::min(wait_s, longest_wait_s) * microseconds)};
 }
 
-slowdown_range scheduler_state::slowdowns(std::string_view service,
-                                          time_point now) const
+std::map<std::string_view, slowdown_range>
+scheduler_state::slowdowns(time_point now) const
 {
-    slowdown_range range{std::numeric_limits<double>::max(), 0.0};
+    std::map<std::string_view, slowdown_range> ranges;
     for (auto const& [id, executor] : executors)
     {
-        if (serves(executor, service, now))
+        if (!accepts(executor, now))
         {
-            range.fastest = std::min(range.fastest, speeds.slowdown(id));
-            range.slowest = std::max(range.slowest, speeds.slowdown(id));
+            continue;
         }
+        double const slowdown = speeds.slowdown(id);
+        auto& range = ranges
+                          .try_emplace(executor.description.service,
+                                       slowdown_range{slowdown, slowdown})
+                          .first->second;
+        range.fastest = std::min(range.fastest, slowdown);
+        range.slowest = std::max(range.slowest, slowdown);
     }
-    return range.slowest > 0.0 ? range : slowdown_range{};
+    return ranges;
 }
 
 time_point scheduler_state::latest_start(job_record const& job)
@@ -121,17 +115,14 @@
 bool scheduler_state::needs_fast(job_record const& job, time_point now,
                                  double slowest)
 {
-    placement_times times;
-    times.estimate = job.chain;
-    times.to_limit = job.limit - now;
-    return needs_fast_executor(times, slowest);
+    return needs_fast_executor(job.chain, job.limit - now, slowest);
 }
 
 admission_verdict scheduler_state::judge_admission(job_record const& job,
                                                    time_point now) const
 {
     std::string_view const service = job.job.service;
-    auto const range = slowdowns(service, now);
+    auto const range = slowdowns(now)[service];
     // The slowest executors that may still end the job in time.
     double const slowest_allowed =
         job.chain > duration{}
@@ -148,14 +139,20 @@
         input.own_work += group.task_count * cpu_work(group);
     }
     auto const position = position_of(job, now, range.slowest);
-    for (auto const& entry : waiting_queue(service, now))
+    for (auto const& [id, other] : jobs)
     {
+        if (other.job.service != service)
+        {
+            continue;
+        }
         // Late jobs whose work has begun take the room that becomes free on
         // the executors of their other tasks.
-        bool const is_late = entry.latest_start < now;
-        if (entry.position <= position || is_late)
+        bool const goes_first =
+            latest_start(other) < now ||
+            position_of(other, now, range.slowest) <= position;
+        if (goes_first)
         {
-            input.work_ahead += entry.work;
+            input.work_ahead += waiting_work(other);
         }
     }
     input.usable_millicores = usable_millicores(
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -35,6 +35,12 @@
 /// answer at the earliest, and one more attempt may follow.
 constexpr duration verdict_memory = std::chrono::seconds{4};
 
+void make_waiting(group_record& group, task_record& task)
+{
+    task.phase = task_phase::waiting;
+    ++group.waiting;
+}
+
 /// Opens the groups whose earlier groups are done.
 void open_groups(job_record& job)
 {
@@ -56,8 +62,7 @@
         {
             if (task.phase == task_phase::blocked)
             {
-                task.phase = task_phase::waiting;
-                ++job.groups[i].waiting;
+                make_waiting(job.groups[i], task);
             }
         }
     }
@@ -186,8 +191,7 @@
     auto& task = group.tasks[run.run.task.index];
     if (task.phase == task_phase::active)
     {
-        task.phase = task_phase::waiting;
-        ++group.waiting;
+        make_waiting(group, task);
     }
 }
 
@@ -250,8 +254,7 @@
         }
         return;
     }
-    task.phase = task_phase::waiting;
-    ++group.waiting;
+    make_waiting(group, task);
     if (end != run_end::failed)
     {
         return;
@@ -278,6 +281,7 @@
                   {
                       return entry.second.forget_at <= turn.now;
                   });
+    auto ranges = slowdowns(turn.now);
     std::vector<std::pair<client_job_id, std::string_view>> ended;
     for (auto& [id, job] : jobs)
     {
@@ -286,7 +290,7 @@
             job.awaits_claims = false;
             adopt_runs(job, turn);
         }
-        double const fastest = slowdowns(job.job.service, turn.now).fastest;
+        double const fastest = ranges[job.job.service].fastest;
         auto const finish =
             turn.now + scale_duration(job.chain, fastest * hopeless_margin);
         if (job.unwanted_at && *job.unwanted_at <= turn.now)
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -165,6 +165,19 @@
     executor.next_hold_at = turn.now + hold_retry;
 }
 
+run_record& scheduler_state::add_listed(executor_record& executor,
+                                        task_run const& run, time_point now,
+                                        time_point orphan_until)
+{
+    auto& added = executor.runs.emplace_back();
+    added.run = run;
+    added.phase = run_phase::running;
+    added.sent_at = now;
+    added.confirmed_at = now;
+    added.orphan_until = orphan_until;
+    return added;
+}
+
 void scheduler_state::claim_answered(executor_record& executor,
                                      hold_answer const& answer,
                                      scheduler_turn& turn)
@@ -181,13 +194,7 @@
         {
             continue;
         }
-        run_record run;
-        run.run = listed.run;
-        run.phase = run_phase::running;
-        run.sent_at = turn.now;
-        run.confirmed_at = turn.now;
-        run.orphan_until = turn.now + orphan_patience;
-        executor.runs.push_back(run);
+        add_listed(executor, listed.run, turn.now, turn.now + orphan_patience);
     }
     for (auto& [id, job] : jobs)
     {
@@ -227,9 +234,8 @@
                 executor.used += run.amounts;
             }
             run.estimate = duration{};
-            run.expected = scale_duration(
-                wanted.estimate, speeds.slowdown(id) *
-                                     rack_factor(executor.description, wanted));
+            run.expected = scale_duration(wanted.estimate,
+                                          expected_slowdown(executor, wanted));
             scheduling_note note{.event = "run_adopted",
                                  .job = job.job.id,
                                  .run = run.run,
@@ -303,14 +309,9 @@
     {
         if (find_run(executor, entry.run) == nullptr)
         {
-            run_record unknown;
-            unknown.run = entry.run;
-            unknown.phase = run_phase::running;
-            unknown.sent_at = turn.now;
-            unknown.confirmed_at = turn.now;
-            unknown.orphan_until = turn.now;
-            executor.runs.push_back(unknown);
-            request_stop(executor, executor.runs.back(), turn);
+            request_stop(executor,
+                         add_listed(executor, entry.run, turn.now, turn.now),
+                         turn);
         }
     }
 }
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -150,28 +150,57 @@
         stop_run{next_order(), executor.id, run.run, token, order_timeout});
 }
 
-void scheduler_state::start_answered(order_answer const& answer,
-                                     scheduler_turn& turn)
+std::optional<answered_order>
+scheduler_state::find_answered(order_answer const& answer, time_point now)
 {
     auto const found = executors.find(answer.executor);
     if (!owner || found == executors.end())
     {
-        return;
+        return std::nullopt;
     }
     auto& executor = found->second;
-    note_clock(executor, answer.clock, turn.now);
+    note_clock(executor, answer.clock, now);
     auto* const run = find_run(executor, answer.run);
     if (run == nullptr)
+    {
+        return std::nullopt;
+    }
+    return answered_order{executor, *run};
+}
+
+bool scheduler_state::lose_by_answer(executor_record& executor,
+                                     order_outcome outcome,
+                                     scheduler_turn& turn)
+{
+    if (outcome == order_outcome::fenced)
+    {
+        fence_executor(executor, turn);
+        return true;
+    }
+    if (outcome == order_outcome::other_incarnation)
+    {
+        lose_executor(executor, "restarted", turn);
+        return true;
+    }
+    return false;
+}
+
+void scheduler_state::start_answered(order_answer const& answer,
+                                     scheduler_turn& turn)
+{
+    auto const answered = find_answered(answer, turn.now);
+    if (!answered)
     {
         return;
     }
+    auto& [executor, run] = *answered;
     if (answer.outcome == order_outcome::accepted)
     {
         executor.health.answered();
-        if (run->phase == run_phase::starting)
+        if (run.phase == run_phase::starting)
         {
-            run->phase = run_phase::running;
-            run->confirmed_at = turn.now;
+            run.phase = run_phase::running;
+            run.confirmed_at = turn.now;
         }
         return;
     }
@@ -180,23 +209,21 @@
                          .run = answer.run,
                          .executor = executor.id};
     note.reason = outcome_name(answer.outcome);
-    note.run_time = turn.now - run->sent_at;
+    note.run_time = turn.now - run.sent_at;
     turn.out.emplace_back(note);
-    switch (answer.outcome)
+    if (lose_by_answer(executor, answer.outcome, turn))
     {
-    case order_outcome::fenced:
-        fence_executor(executor, turn);
-        return;
-    case order_outcome::other_incarnation:
-        lose_executor(executor, "restarted", turn);
         return;
+    }
+    switch (answer.outcome)
+    {
     case order_outcome::unanswered:
         // Single orders may be late on an executor that answers others.
-        if (!answered_since(executor, run->sent_at))
+        if (!answered_since(executor, run.sent_at))
         {
             executor.health.silent(turn.now);
         }
-        request_stop(executor, *run, turn);
+        request_stop(executor, run, turn);
         return;
     case order_outcome::not_sent:
         executor.health.silent(turn.now);
@@ -209,7 +236,7 @@
         executor.recount = true;
         break;
     }
-    auto const record = *run;
+    auto const record = run;
     remove_run(executor, answer.run);
     return_task(record);
     if (auto const job = jobs.find(answer.run.task.job);
@@ -229,34 +256,26 @@
 void scheduler_state::stop_answered(order_answer const& answer,
                                     scheduler_turn& turn)
 {
-    auto const found = executors.find(answer.executor);
-    if (!owner || found == executors.end())
+    auto const answered = find_answered(answer, turn.now);
+    if (!answered)
     {
         return;
     }
-    auto& executor = found->second;
-    note_clock(executor, answer.clock, turn.now);
-    auto* const run = find_run(executor, answer.run);
-    if (run == nullptr)
+    auto& [executor, run] = *answered;
+    run.stop_in_flight = false;
+    if (lose_by_answer(executor, answer.outcome, turn))
     {
         return;
     }
-    run->stop_in_flight = false;
     switch (answer.outcome)
     {
     case order_outcome::accepted:
     case order_outcome::stale_execution:
-        run->phase = run_phase::stop_accepted;
-        run->stop_due = turn.now + limits.stop_time;
-        return;
-    case order_outcome::fenced:
-        fence_executor(executor, turn);
-        return;
-    case order_outcome::other_incarnation:
-        lose_executor(executor, "restarted", turn);
+        run.phase = run_phase::stop_accepted;
+        run.stop_due = turn.now + limits.stop_time;
         return;
     default:
-        run->stop_due = turn.now + stop_retry;
+        run.stop_due = turn.now + stop_retry;
         return;
     }
 }
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -87,28 +87,39 @@
                : limits.remote_rack_factor;
 }
 
+double scheduler_state::expected_slowdown(executor_record const& executor,
+                                          task_group const& group) const
+{
+    return speeds.slowdown(executor.id) *
+           rack_factor(executor.description, group);
+}
+
 void scheduler_state::place_waiting(scheduler_turn& turn)
 {
-    std::map<std::string_view, slowdown_range> ranges;
-    std::vector<std::pair<serving_position, job_record*>> order;
+    std::vector<job_record*> waiting;
     for (auto& [id, job] : jobs)
     {
-        if (job.awaits_claims || job.unwanted_at || !has_waiting(job))
-        {
-            continue;
-        }
-        std::string_view const service = job.job.service;
-        if (!ranges.contains(service))
+        if (!job.awaits_claims && !job.unwanted_at && has_waiting(job))
         {
-            ranges.emplace(service, slowdowns(service, turn.now));
+            waiting.push_back(&job);
         }
-        order.emplace_back(
-            position_of(job, turn.now, ranges.at(service).slowest), &job);
+    }
+    if (waiting.empty())
+    {
+        return;
+    }
+    auto ranges = slowdowns(turn.now);
+    std::vector<std::pair<serving_position, job_record*>> order;
+    order.reserve(waiting.size());
+    for (auto* const job : waiting)
+    {
+        double const slowest = ranges[job->job.service].slowest;
+        order.emplace_back(position_of(*job, turn.now, slowest), job);
     }
     std::ranges::sort(order, {}, &decltype(order)::value_type::first);
     for (auto const& [position, job] : order)
     {
-        place_job(*job, ranges.at(job->job.service).fastest, turn);
+        place_job(*job, ranges[job->job.service].fastest, turn);
     }
 }
 
@@ -127,14 +138,11 @@
         {
             continue;
         }
-        auto free = description.capacity;
-        free -= executor.used;
+        auto const free = executor.room();
         if (wanted.each_task.fits_into(free))
         {
             candidates.push_back(
-                {id, free,
-                 speeds.slowdown(id) * rack_factor(description, wanted),
-                 places});
+                {id, free, expected_slowdown(executor, wanted), places});
         }
     }
     return candidates;
--- a/src/core/leasing/scheduler_progress.cpp
+++ b/src/core/leasing/scheduler_progress.cpp
@@ -106,9 +106,7 @@
                                     resource_amounts const& amounts,
                                     time_point now)
 {
-    auto free = executor.description.capacity;
-    free -= executor.used;
-    if (amounts.fits_into(free))
+    if (amounts.fits_into(executor.room()))
     {
         return now;
     }
@@ -131,9 +129,8 @@
     auto const normalized =
         [&](executor_record const& host, run_record const& seen)
     {
-        double const slowdown =
-            speeds.slowdown(host.id) * rack_factor(host.description, group);
-        return scale_duration(*seen.ends_at - seen.sent_at, 1.0 / slowdown);
+        return scale_duration(*seen.ends_at - seen.sent_at,
+                              1.0 / expected_slowdown(host, group));
     };
     duration longest_sibling{};
     for (auto const& [id, host] : executors)
@@ -176,11 +173,9 @@
             {
                 return false;
             }
-            double const slowdown =
-                speeds.slowdown(id) * rack_factor(other.description, group);
-            return room_at(other, run.amounts, now) +
-                       scale_duration(work, slowdown) <
-                   job.limit;
+            auto const there =
+                scale_duration(work, expected_slowdown(other, group));
+            return room_at(other, run.amounts, now) + there < job.limit;
         });
 }
 
