Use one copy of list splitting, checked addresses and new incarnations

Read-through of the change. The entry daemon had its own loops over lists with commas, its own conversion of checked addresses and its own incarnation, beside those of the settings schema and the dispatcher daemon; both now use the same ones. The entry daemon's incarnation is the dispatcher's form (time and 20 random bits, before 64 random bits); it is compared for equality only.

--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -1,7 +1,10 @@
 #include "goldcrestgate/app/entry/entry_instance.hpp"
 
+#include "goldcrestgate/app/detail/checked_address.hpp"
+#include "goldcrestgate/app/detail/new_incarnation.hpp"
+#include "goldcrestgate/core/settings/text_list.hpp"
+
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace goldcrestgate::app
@@ -48,11 +51,9 @@
 number_domains(std::string_view names)
 {
     std::map<std::string, core::domain_id, std::less<>> domains;
-    while (!names.empty())
+    for (auto const name : core::split_list(names))
     {
-        auto const comma = std::min(names.find(','), names.size());
-        domains.emplace(names.substr(0, comma), core::domain_id{});
-        names.remove_prefix(std::min(comma + 1, names.size()));
+        domains.emplace(name, core::domain_id{});
     }
     std::uint16_t number = 0;
     for (auto& [name, id] : domains)
@@ -66,25 +67,10 @@
 make_key(entry_settings const& settings,
          std::map<std::string, core::domain_id, std::less<>> const& domains)
 {
-    std::random_device device;
-    std::uint64_t const incarnation =
-        (std::uint64_t{device()} << 32U) | device();
     auto const domain = domains.find(settings.failure_domain);
     return {domain == domains.end() ? core::domain_id{} : domain->second,
             instance_of(settings.peers_address).value_or(core::instance_id{}),
-            core::incarnation{incarnation}};
-}
-
-io::socket_address parse_checked(std::string const& address)
-{
-    return io::socket_address::parse(address).value();
-}
-
-std::uint64_t unix_milliseconds()
-{
-    auto const since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+            detail::new_incarnation()};
 }
 
 } // namespace
@@ -188,7 +174,7 @@
                    log_line{log_level::warning, "executor_entry_refused"}.text(
                        "executor", name));
            }})
-    , store_(loop, parse_checked(settings.store_address))
+    , store_(loop, detail::checked_address(settings.store_address))
     , configuration_watch_(loop, store_, adapter::topic::configuration,
                            configuration_pace,
                            sinks_of("configuration",
@@ -231,12 +217,14 @@
 core::result<void> entry_instance::run()
 {
     add_caller_routes();
-    BOOST_LEAF_CHECK(callers_.listen(parse_checked(settings_.callers_address)));
     BOOST_LEAF_CHECK(
-        readiness_.listen(parse_checked(settings_.readiness_address)));
+        callers_.listen(detail::checked_address(settings_.callers_address)));
+    BOOST_LEAF_CHECK(readiness_.listen(
+        detail::checked_address(settings_.readiness_address)));
+    BOOST_LEAF_CHECK(metrics_server_.listen(
+        detail::checked_address(settings_.metrics_address)));
     BOOST_LEAF_CHECK(
-        metrics_server_.listen(parse_checked(settings_.metrics_address)));
-    BOOST_LEAF_CHECK(peers_.listen(parse_checked(settings_.peers_address)));
+        peers_.listen(detail::checked_address(settings_.peers_address)));
     log_.write(log_line{log_level::info, "started"}
                    .text("instance", settings_.name)
                    .text("failure_domain", settings_.failure_domain)
@@ -402,7 +390,7 @@
         ownership_.fenced(scheduler_.load(now).claimed == 0, now);
     }
     std::vector<core::scheduler_action> out;
-    auto const decision = ownership_.decide(now, unix_milliseconds());
+    auto const decision = ownership_.decide(now, detail::unix_milliseconds());
     if (auto const* const claim = std::get_if<core::claim_ownership>(&decision))
     {
         bool const roster_known =
--- a/src/app/entry/entry_platform.cpp
+++ b/src/app/entry/entry_platform.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/app/entry/entry_instance.hpp"
 
+#include "goldcrestgate/core/settings/text_list.hpp"
 #include "platform/configuration_codec.hpp"
 
 #include <utility>
@@ -58,12 +59,9 @@
     configuration_watch_.start();
     executors_watch_.start();
     announce();
-    std::string_view seeds = settings_.seed_addresses;
-    while (!seeds.empty())
+    for (auto const seed : core::split_list(settings_.seed_addresses))
     {
-        auto const comma = std::min(seeds.find(','), seeds.size());
-        connect(seeds.substr(0, comma));
-        seeds.remove_prefix(std::min(comma + 1, seeds.size()));
+        connect(seed);
     }
 }
 
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -1,7 +1,8 @@
 #include "goldcrestgate/app/instance.hpp"
 
-#include <chrono>
-#include <random>
+#include "goldcrestgate/app/detail/checked_address.hpp"
+#include "goldcrestgate/app/detail/new_incarnation.hpp"
+
 #include <utility>
 
 namespace goldcrestgate::app
@@ -14,19 +15,6 @@
 constexpr core::duration linger_limit = std::chrono::milliseconds{500};
 constexpr core::duration linger_step = std::chrono::milliseconds{10};
 
-/// A new value at every process start: wall-clock milliseconds and 20 random
-/// bits, so that two starts within one millisecond differ as well.
-core::incarnation new_incarnation()
-{
-    constexpr unsigned random_bits = 20;
-    auto const now = std::chrono::system_clock::now().time_since_epoch();
-    auto const ms = static_cast<std::uint64_t>(
-        std::chrono::floor<std::chrono::milliseconds>(now).count());
-    std::random_device random;
-    std::uint64_t const low = random() & ((1U << random_bits) - 1);
-    return core::incarnation{(ms << random_bits) | low};
-}
-
 core::dispatcher build_dispatcher(instance_settings const& settings,
                                   core::instance_key const& self)
 {
@@ -40,12 +28,6 @@
         .build();
 }
 
-/// The settings file was checked, so its addresses are well formed.
-io::socket_address address_of(std::string const& text)
-{
-    return io::socket_address::parse(text).value();
-}
-
 std::string_view kind_name(core::decision_kind kind)
 {
     constexpr std::array<std::string_view, 8> names = {
@@ -61,7 +43,7 @@
     : loop_(loop)
     , settings_(settings)
     , log_(log)
-    , self_{settings.failure_domain, settings.id, new_incarnation()}
+    , self_{settings.failure_domain, settings.id, detail::new_incarnation()}
     , dispatcher_(build_dispatcher(settings, self_))
     , server_(loop, {settings.body_limit_bytes, settings.request_read_timeout,
                      settings.caller_connection_limit})
@@ -88,7 +70,8 @@
                   log_line{log_level::warning, "peer_fault"}.failure(failure));
           })
     , published_(
-          loop, settings, address_of(settings.platform_address), log,
+          loop, settings, detail::checked_address(settings.platform_address),
+          log,
           [this](core::settings_ptr view)
           {
               deliver(core::settings_changed{std::move(view)});
@@ -105,7 +88,7 @@
                          stop();
                      }
                  })
-    , list_client_(loop, address_of(settings.platform_address),
+    , list_client_(loop, detail::checked_address(settings.platform_address),
                    settings.failure_domain, settings.platform_timeout)
     , list_timer_(loop,
                   [this]
@@ -136,8 +119,10 @@
 
 core::result<stop_kind> instance::run()
 {
-    BOOST_LEAF_CHECK(server_.listen(address_of(settings_.callers_address)));
-    BOOST_LEAF_CHECK(peers_.listen(address_of(settings_.peers_address)));
+    BOOST_LEAF_CHECK(
+        server_.listen(detail::checked_address(settings_.callers_address)));
+    BOOST_LEAF_CHECK(
+        peers_.listen(detail::checked_address(settings_.peers_address)));
     log_.write(log_line{log_level::info, "listening"}
                    .text("address", settings_.callers_address)
                    .number("instance", settings_.id.value())
--- a/src/core/settings/schema.cpp
+++ b/src/core/settings/schema.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/settings/schema.hpp"
 
 #include "goldcrestgate/core/detail/overloaded.hpp"
+#include "goldcrestgate/core/settings/text_list.hpp"
 
 #include <algorithm>
 #include <array>
@@ -90,24 +91,6 @@
     return false;
 }
 
-template <typename Predicate>
-bool all_parts(std::string_view text, Predicate predicate)
-{
-    while (true)
-    {
-        auto const comma = text.find(',');
-        if (!predicate(text.substr(0, comma)))
-        {
-            return false;
-        }
-        if (comma == std::string_view::npos)
-        {
-            return true;
-        }
-        text.remove_prefix(comma + 1);
-    }
-}
-
 bool matches(text_rule const& rule, std::string_view text)
 {
     switch (rule.form)
@@ -119,9 +102,10 @@
     case text_form::choice:
         return is_choice(text, rule.choices);
     case text_form::labels:
-        return all_parts(text, is_label);
+        return std::ranges::all_of(split_list(text), is_label);
     case text_form::addresses:
-        return text.empty() || all_parts(text, is_address);
+        return text.empty() ||
+               std::ranges::all_of(split_list(text), is_address);
     }
     return false;
 }
