--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -3,6 +3,8 @@
 #include "goldcrestgate/core/detail/overloaded.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 
+#include <cppunit/TestAssert.h>
+
 namespace goldcrestgate::tests
 {
 
@@ -16,6 +18,28 @@
     tick();
 }
 
+void fleet_owner::start(std::uint64_t token)
+{
+    list_all();
+    take_over(token, true);
+    fleet_.run_for(milliseconds{150});
+    CPPUNIT_ASSERT(scheduler.owns());
+}
+
+void fleet_owner::submit(leased_job const& job, duration work)
+{
+    fleet_.set_work(job.id, work);
+    offer(job);
+}
+
+leased_job fleet_owner::submit(std::uint64_t id, std::uint16_t tasks,
+                               duration work)
+{
+    auto job = make_leased_job(id, tasks, work);
+    submit(job, work);
+    return job;
+}
+
 void fleet_owner::tick()
 {
     if (dead_)
@@ -108,6 +132,17 @@
     }
 }
 
+void check_rejections(executor_fleet const& fleet, fleet_owner const& owner)
+{
+    for (auto const& [id, verdict] : owner.verdicts)
+    {
+        if (verdict.outcome == job_outcome::rejected)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.starts(id));
+        }
+    }
+}
+
 leased_job make_leased_job(std::uint64_t id, std::uint16_t tasks,
                            duration estimate)
 {
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -16,6 +16,16 @@
 public:
     explicit fleet_owner(executor_fleet& fleet);
 
+    /// @brief Lists all executors, takes them over and lets them answer.
+    void start(std::uint64_t token = 1);
+
+    /// @brief Offers a job with the true work of each of its tasks.
+    void submit(core::leased_job const& job, core::duration work);
+
+    /// @brief Offers a job of one group whose estimate is right.
+    core::leased_job submit(std::uint64_t id, std::uint16_t tasks,
+                            core::duration work);
+
     void list_all();
     void list(core::executor_id id);
     void take_over(std::uint64_t token, bool roster_known);
@@ -42,6 +52,9 @@
     bool dead_ = false;
 };
 
+/// @brief Checks that no job with a rejection as verdict has started.
+void check_rejections(executor_fleet const& fleet, fleet_owner const& owner);
+
 /// @brief Makes a job of one group.
 [[nodiscard]] core::leased_job
 make_leased_job(std::uint64_t id, std::uint16_t tasks, core::duration estimate);
