--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -60,6 +60,11 @@
     work_[job] = work;
 }
 
+void executor_fleet::set_work(leased_task const& task, duration work)
+{
+    task_work_[task] = work;
+}
+
 void executor_fleet::set_data_rack(client_job_id job, std::string rack)
 {
     data_racks_[job] = std::move(rack);
@@ -152,17 +157,19 @@
     }
 }
 
-duration executor_fleet::run_time(machine const& host, client_job_id job) const
+duration executor_fleet::run_time(machine const& host,
+                                  leased_task const& task) const
 {
     constexpr double remote_rack_factor = 2.0;
     auto const& labels = host.description.labels;
-    auto const rack = data_racks_.find(job);
+    auto const own = task_work_.find(task);
+    auto const rack = data_racks_.find(task.job);
     bool const is_remote =
         rack != data_racks_.end() &&
         std::ranges::find(labels, rack->second) == labels.end();
-    return detail::scale_duration(work_.at(job),
-                                  host.behaviour.slowdown *
-                                      (is_remote ? remote_rack_factor : 1.0));
+    return detail::scale_duration(
+        own != task_work_.end() ? own->second : work_.at(task.job),
+        host.behaviour.slowdown * (is_remote ? remote_rack_factor : 1.0));
 }
 
 order_outcome executor_fleet::start(machine& host, start_run const& order)
@@ -201,7 +208,7 @@
     host.lease_until =
         std::max(host.lease_until,
                  std::min(to_time(order.lease_until), now_ + longest_lease));
-    auto const total = run_time(host, order.run.task.job);
+    auto const total = run_time(host, order.run.task);
     auto const ends = host.behaviour.hangs ? time_point::max() : now_ + total;
     host.runs.push_back({order.run, now_, ends, total});
     return order_outcome::accepted;
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -56,6 +56,9 @@
     /// @brief Sets the true work of a job's tasks.
     void set_work(core::client_job_id job, core::duration work);
 
+    /// @brief Sets the true work of one task, in place of its job's.
+    void set_work(core::leased_task const& task, core::duration work);
+
     /// @brief Sets the rack on which a job's data is located; elsewhere its
     /// tasks take twice as long.
     void set_data_rack(core::client_job_id job, std::string rack);
@@ -121,7 +124,7 @@
     [[nodiscard]] core::order_outcome start(machine& host,
                                             core::start_run const& order);
     [[nodiscard]] core::duration run_time(machine const& host,
-                                          core::client_job_id job) const;
+                                          core::leased_task const& task) const;
     [[nodiscard]] core::hold_answer look(machine& host,
                                          core::hold_executor const& order);
     [[nodiscard]] bool loses_order();
@@ -136,6 +139,7 @@
         events_;
     std::map<core::executor_id, machine> machines_;
     std::map<core::client_job_id, core::duration> work_;
+    std::map<core::leased_task, core::duration> task_work_;
     std::map<core::client_job_id, std::string> data_racks_;
     std::map<core::client_job_id, std::size_t> starts_;
 };
--- a/tests/unit/job_scheduler.cpp
+++ b/tests/unit/job_scheduler.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(task_that_always_fails_ends_the_job_only);
     CPPUNIT_TEST(hopeless_job_is_given_up_early);
     CPPUNIT_TEST(slow_run_moves_when_room_comes);
+    CPPUNIT_TEST(long_task_is_not_taken_for_a_slow_executor);
     CPPUNIT_TEST(task_without_time_ends_the_job_early);
     CPPUNIT_TEST(overload_is_rejected_at_once);
     CPPUNIT_TEST(fenced_owner_reports_nothing);
@@ -234,6 +235,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.double_runs);
     }
 
+    // Guards against a task that is longer than the others of its group and is
+    // started again and again elsewhere, although it takes as long there:
+    // kpc-rollworks scale-1, where the largest jobs were lost by that.
+    void long_task_is_not_taken_for_a_slow_executor()
+    {
+        executor_fleet fleet{3};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        auto const job = make_leased_job(7, 3, milliseconds{1250});
+        fleet.set_work({job.id, 0, 0}, milliseconds{1560});
+        owner.submit(job, milliseconds{1250});
+        fleet.run_for(milliseconds{400});
+        expect(owner, 7, job_outcome::abandoned);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.starts(job.id));
+    }
+
     // Guards against a caller that waits until its limit for a task which lost
     // its executor and is too long to be run again.
     void task_without_time_ends_the_job_early()
