Run posted functions and timers inside of h2o's loop

Cause: h2o expects that no write notification is pending when it polls. The loop ran posted functions and timers before the poll, so their writes left such notifications.

Ruled out: answers before the end of a request (h2o reads only after the write), the order of waiting jobs (a total order), descriptors that h2o does not remove from its epoll set.

Change: h2o calls the due functions as a timeout. An exception of a callback is logged and no longer ends the process. A call stack is written to standard error on a fatal signal. The loop reports when it is late, and its time counts suspensions of the machine. Connections between instances use keep-alive probes, as most carry no regular traffic.

Measured: unit.event_loop fails an assertion on the earlier loop.

--- a/include/goldcrestgate/io/detail/http_connection.hpp
+++ b/include/goldcrestgate/io/detail/http_connection.hpp
@@ -32,9 +32,10 @@
 /// @brief The open connections of a server and the state that they share.
 struct connection_group
 {
-    explicit connection_group(event_loop& loop)
-        : monitor(loop)
-        , lingering(loop)
+    explicit connection_group(event_loop& event_loop)
+        : loop(event_loop)
+        , monitor(event_loop)
+        , lingering(event_loop)
     {
     }
 
@@ -44,6 +45,7 @@
         return error_body ? error_body(status) : std::string{};
     }
 
+    event_loop& loop;
     hangup_monitor monitor;
     lingering_sockets lingering;
     http_server::error_body error_body;
--- a/include/goldcrestgate/io/detail/peer_connection.hpp
+++ b/include/goldcrestgate/io/detail/peer_connection.hpp
@@ -89,6 +89,7 @@
 
     void connect(socket_address const& address, core::duration timeout);
     void finish_connect(int failure);
+    void finish_connect_later(int failure);
     void begin_reading();
     void read_frames();
     void schedule_flush();
--- a/include/goldcrestgate/io/event_loop.hpp
+++ b/include/goldcrestgate/io/event_loop.hpp
@@ -2,7 +2,9 @@
 
 #include "goldcrestgate/core/time.hpp"
 
+#include <exception>
 #include <functional>
+#include <memory>
 #include <set>
 #include <utility>
 #include <vector>
@@ -14,6 +16,11 @@
 
 class timer;
 
+namespace detail
+{
+struct due_work_trigger;
+} // namespace detail
+
 /// @brief Drives all sockets and timers of one thread.
 ///
 /// @par Thread safety
@@ -26,14 +33,15 @@
     event_loop(event_loop const&) = delete;
     event_loop& operator=(event_loop const&) = delete;
 
-    /// @brief Returns the current monotonic time.
+    /// @brief Returns the current monotonic time, which also counts the time
+    /// for which the machine was suspended.
     [[nodiscard]] core::time_point now() const;
 
     /// @brief Runs until @ref stop is called.
     void run();
 
-    /// @brief Runs one iteration: posted functions, expired timers, and socket
-    /// events, for which it waits at most @a max_wait.
+    /// @brief Runs one iteration: socket events, for which it waits at most
+    /// @a max_wait, posted functions, and expired timers.
     void run_once(core::duration max_wait);
 
     /// @brief Makes @ref run return after the current iteration.
@@ -45,6 +53,24 @@
     /// the h2o callback that is running has returned.
     void post(std::function<void()> work);
 
+    /// Receives an exception that a callback has thrown.
+    using fault_sink = std::function<void(std::exception const&)>;
+
+    /// @brief Sets the function that reports exceptions of callbacks; the loop
+    /// goes on after it. Without one, they are ignored.
+    void on_fault(fault_sink report);
+
+    /// Receives the time by which the loop is late.
+    using stall_sink = std::function<void(core::duration)>;
+
+    /// @brief Sets a function that is called before all other work if a timer
+    /// is overdue by more than @a limit, as after a pause of the process.
+    void on_stall(core::duration limit, stall_sink report);
+
+    /// @brief Calls a function and reports the exception that it throws.
+    /// @return whether it returned without an exception
+    bool run_guarded(std::function<void()> const& work) const;
+
     /// @brief Returns h2o's handle of the loop.
     [[nodiscard]] st_h2o_evloop_t* native() const;
 
@@ -52,12 +78,18 @@
     friend class timer;
 
     [[nodiscard]] core::duration wait_limit(core::duration max_wait) const;
-    bool run_due();
+    [[nodiscard]] bool has_due() const;
+    void run_due();
+    void check_stall() const;
 
     st_h2o_evloop_t* loop_;
     bool stopped_ = false;
     std::set<std::pair<core::time_point, timer*>> timers_;
     std::vector<std::function<void()>> posted_;
+    fault_sink report_fault_;
+    core::duration stall_limit_ = core::duration::max();
+    stall_sink report_stall_;
+    std::unique_ptr<detail::due_work_trigger> trigger_;
 };
 
 /// @brief Calls a function once at a later time.
--- a/programs/daemon_program.hpp
+++ b/programs/daemon_program.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestgate/app/crash_report.hpp"
 #include "goldcrestgate/app/log.hpp"
 #include "goldcrestgate/app/version.hpp"
 #include "goldcrestgate/core/result.hpp"
@@ -102,6 +103,7 @@
     static int run(settings_type const& settings)
     {
         std::signal(SIGPIPE, SIG_IGN);
+        app::install_crash_report();
         Daemon::handle_signals();
         io::event_loop loop;
         typename Daemon::instance* running_daemon = nullptr;
@@ -114,6 +116,13 @@
                                            running_daemon->stop();
                                        }};
         app::logger log{settings.log_level, settings.log_queue_limit_lines};
+        loop.on_fault(
+            [&log](std::exception const& fault)
+            {
+                log.write(
+                    app::log_line{app::log_level::error, "internal_fault"}.text(
+                        "message", fault.what()));
+            });
         typename Daemon::instance daemon{loop, settings, log};
         running_daemon = &daemon;
         return boost::leaf::try_handle_all(
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 
 namespace goldcrestgate::io
 {
@@ -16,19 +17,108 @@
 
 } // namespace
 
+namespace detail
+{
+
+/// @brief Lets h2o call the due functions of a loop.
+///
+/// h2o's loop expects that its list of pending write notifications is empty
+/// when it polls. Functions that write to sockets must therefore run inside of
+/// @c h2o_evloop_run: otherwise h2o frees a socket that was written to and
+/// closed before the poll while the list still refers to it, and fails on a
+/// write event of a socket whose notification was delivered without one.
+struct due_work_trigger
+{
+    h2o_timeout_entry_t entry{};
+    h2o_timeout_t timeout{};
+    std::function<void()> run;
+
+    static void on_due(h2o_timeout_entry_t* entry)
+    {
+        // The entry is the first member.
+        reinterpret_cast<due_work_trigger*>(entry)->run();
+    }
+};
+
+} // namespace detail
+
 event_loop::event_loop()
     : loop_(h2o_evloop_create())
+    , trigger_(std::make_unique<detail::due_work_trigger>())
 {
+    h2o_timeout_init(loop_, &trigger_->timeout, 0);
+    trigger_->entry.cb = &detail::due_work_trigger::on_due;
+    trigger_->run = [this]
+    {
+        run_due();
+    };
 }
 
 // h2o cannot free a loop together with its closed sockets, so the memory of the
 // loop stays allocated until the process exits.
-event_loop::~event_loop() = default;
+event_loop::~event_loop()
+{
+    if (h2o_timeout_is_linked(&trigger_->entry) != 0)
+    {
+        h2o_timeout_unlink(&trigger_->entry);
+    }
+    h2o_timeout_dispose(loop_, &trigger_->timeout);
+}
+
+void event_loop::on_fault(fault_sink report)
+{
+    report_fault_ = std::move(report);
+}
+
+void event_loop::on_stall(core::duration limit, stall_sink report)
+{
+    stall_limit_ = limit;
+    report_stall_ = std::move(report);
+}
+
+void event_loop::check_stall() const
+{
+    if (!report_stall_ || timers_.empty())
+    {
+        return;
+    }
+    auto const lateness = now() - timers_.begin()->first;
+    if (lateness > stall_limit_)
+    {
+        run_guarded(
+            [this, lateness]
+            {
+                report_stall_(lateness);
+            });
+    }
+}
+
+bool event_loop::run_guarded(std::function<void()> const& work) const
+{
+    try
+    {
+        work();
+        return true;
+    }
+    catch (std::exception const& fault)
+    {
+        if (report_fault_)
+        {
+            report_fault_(fault);
+        }
+        return false;
+    }
+}
 
 core::time_point event_loop::now() const
 {
-    auto const since = std::chrono::steady_clock::now().time_since_epoch();
-    return core::time_point{std::chrono::duration_cast<core::duration>(since)};
+    // The standard's steady clock stops while the machine is suspended, and
+    // leases of other processes go on.
+    timespec since{};
+    clock_gettime(CLOCK_BOOTTIME, &since);
+    return core::time_point{std::chrono::seconds{since.tv_sec} +
+                            std::chrono::duration_cast<core::duration>(
+                                std::chrono::nanoseconds{since.tv_nsec})};
 }
 
 st_h2o_evloop_t* event_loop::native() const
@@ -47,11 +137,12 @@
 
 void event_loop::run_once(core::duration max_wait)
 {
-    // Writes made outside of h2o's callbacks leave notifications that the next
-    // h2o_evloop_run delivers, so it must not wait if any function ran here.
-    bool const ran = run_due();
-    auto const wait = ran ? core::duration{0} : wait_limit(max_wait);
-    auto const wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
+    if (has_due() && h2o_timeout_is_linked(&trigger_->entry) == 0)
+    {
+        h2o_timeout_link(loop_, &trigger_->timeout, &trigger_->entry);
+    }
+    auto const wait_ms =
+        std::chrono::ceil<std::chrono::milliseconds>(wait_limit(max_wait));
     h2o_evloop_run(loop_, static_cast<std::int32_t>(wait_ms.count()));
 }
 
@@ -79,14 +170,19 @@
     return std::clamp(remaining, core::duration{0}, max_wait);
 }
 
-bool event_loop::run_due()
+bool event_loop::has_due() const
 {
-    bool ran = false;
+    return !posted_.empty() ||
+           (!timers_.empty() && timers_.begin()->first <= now());
+}
+
+void event_loop::run_due()
+{
+    check_stall();
     auto const posted = std::exchange(posted_, {});
     for (auto const& work : posted)
     {
-        work();
-        ran = true;
+        run_guarded(work);
     }
     auto const current_time = now();
     while (!timers_.empty() && timers_.begin()->first <= current_time)
@@ -96,10 +192,8 @@
         due_timer->running_ = false;
         // Copied because the function may destroy the timer.
         auto const callback = due_timer->on_expiry_;
-        callback();
-        ran = true;
+        run_guarded(callback);
     }
-    return ran;
 }
 
 timer::timer(event_loop& loop, std::function<void()> on_expiry)
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -88,7 +88,7 @@
     auto const pending = pending_.lock();
     if (pending != nullptr && pending->on_disconnect)
     {
-        std::exchange(pending->on_disconnect, nullptr)();
+        group_.loop.run_guarded(std::exchange(pending->on_disconnect, nullptr));
     }
 }
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -293,7 +293,13 @@
             {404, server.group.make_error_body(404), "application/json", {}});
         return 0;
     }
-    route->handle(request, reply);
+    // A reply that the handler has not sent is answered as an internal error
+    // when its last copy is destroyed.
+    server.loop.run_guarded(
+        [&]
+        {
+            route->handle(request, reply);
+        });
     return 0;
 }
 
--- a/src/io/peer_connection.cpp
+++ b/src/io/peer_connection.cpp
@@ -33,6 +33,33 @@
            std::to_string(h2o_socket_getport(generic_address));
 }
 
+template <typename Value>
+void set_tcp_option(int descriptor, int level, int option, Value value)
+{
+    // A kernel without the option keeps its default.
+    ::setsockopt(descriptor, level, option, &value, sizeof value);
+}
+
+// Disables Nagle's algorithm: it holds back a small frame until the previous
+// one is acknowledged, which adds 40 ms to the start of a task, as the start
+// waits for the acknowledgement of its record. Most pairs of instances exchange
+// no heartbeats, so the kernel detects connections that have gone silent.
+void configure_socket(int descriptor)
+{
+    constexpr int keepalive_idle_s = 2;
+    constexpr int keepalive_interval_s = 1;
+    constexpr int keepalive_probes = 3;
+    constexpr unsigned unacknowledged_timeout_ms = 5000;
+    set_tcp_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_tcp_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_tcp_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_tcp_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL,
+                   keepalive_interval_s);
+    set_tcp_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    set_tcp_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   unacknowledged_timeout_ms);
+}
+
 int socket_error(h2o_socket_t* socket)
 {
     int failure = 0;
@@ -55,6 +82,7 @@
     , connect_timer_(loop, {})
 {
     socket_->data = this;
+    configure_socket(h2o_socket_get_fd(socket_));
     begin_reading();
 }
 
@@ -93,12 +121,12 @@
     int const descriptor =
         ::socket(address.data()->sa_family,
                  SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    // Disables Nagle's algorithm: it holds back a small frame until the
-    // previous one is acknowledged, which adds 40 ms to the start of a task, as
-    // the start waits for the acknowledgement of its record.
-    int const no_delay = 1;
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay,
-                 sizeof no_delay);
+    if (descriptor < 0)
+    {
+        finish_connect_later(errno);
+        return;
+    }
+    configure_socket(descriptor);
     int const outcome = ::connect(descriptor, address.data(), address.size());
     int const failure = outcome == 0 ? 0 : errno;
     socket_ = h2o_evloop_socket_create(loop_.native(), descriptor, 0);
@@ -109,6 +137,11 @@
         h2o_socket_notify_write(socket_, &peer_connection::on_connected);
         return;
     }
+    finish_connect_later(failure);
+}
+
+void peer_connection::finish_connect_later(int failure)
+{
     loop_.post(
         [this, alive = alive_, failure]
         {
