Scan only executors with unused capacity for waiting jobs

Change: a pass over the executors finds those with unused capacity by service, and jobs are placed on these only. A claimed executor adopts its own runs. A run whose job was submitted again in another shape is not applied to it. The scheduler can be suspended for an evacuation, rejects jobs then at once, and keeps the runs.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestgate/core/leasing/serving_order.hpp"
 #include "goldcrestgate/core/leasing/speed_model.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -170,6 +171,16 @@
     std::optional<time_point> cancel_at;
 };
 
+/// @brief Returns whether the job has a task at this position. A run of an
+/// ended job may be known while a job of another shape is submitted under the
+/// same id.
+[[nodiscard]] inline bool has_task(job_record const& job,
+                                   leased_task const& task)
+{
+    return task.group < job.groups.size() &&
+           task.index < job.groups[task.group].tasks.size();
+}
+
 /// @brief Verdict of an ended job, repeated when the job is offered again.
 struct retained_verdict
 {
@@ -190,6 +201,23 @@
 {
     double fastest = 1.0;
     double slowest = 1.0;
+
+    /// Extends the range by a slowdown.
+    /// @param is_first whether the range has no other slowdown yet
+    void include(double slowdown, bool is_first)
+    {
+        fastest = is_first ? slowdown : std::min(fastest, slowdown);
+        slowest = is_first ? slowdown : std::max(slowest, slowdown);
+    }
+};
+
+/// @brief The executors of a service that accept tasks.
+struct executor_pool
+{
+    /// Speeds of all of them.
+    slowdown_range speeds;
+    /// Those that have unused capacity.
+    std::vector<executor_record const*> with_capacity;
 };
 
 /// @brief State of a @ref job_scheduler, shared by its source files.
@@ -203,6 +231,9 @@
 
     scheduler_limits limits;
     bool owner = false;
+    /// Whether no executor gets new tasks, as their failure domain is being
+    /// evacuated.
+    bool suspended = false;
     bool fenced = false;
     fencing_token token;
     time_point owner_since{};
@@ -218,12 +249,16 @@
     void offer(instance_id origin, job_offer const& offered,
                scheduler_context& context);
     void place_waiting(scheduler_context& context);
-    void place_job(job_record& job, double fastest, scheduler_context& context);
-    void place_group(job_record& job, std::uint16_t group, double fastest,
-                     scheduler_context& context);
+    void place_job(job_record& job, executor_pool const& pool,
+                   scheduler_context& context);
+    void place_group(job_record& job, std::uint16_t group,
+                     executor_pool const& pool, scheduler_context& context);
     [[nodiscard]] std::vector<placement_candidate>
     find_candidates(job_record const& job, std::uint16_t group,
-                    time_point now) const;
+                    executor_pool const& pool, time_point now) const;
+    /// Pools by service; services without a usable executor are missing.
+    [[nodiscard]] std::map<std::string_view, executor_pool>
+    executor_pools(time_point now) const;
     static void log_placement(job_record const& job, leased_task const& task,
                               placement_choice const& choice,
                               scheduler_context& context);
@@ -242,6 +277,8 @@
     void attribute_failure(executor_record& executor, task_record& task,
                            time_point now);
     void expire_jobs(scheduler_context& context);
+    /// Rejects all jobs of which no task has started.
+    void reject_unstarted(std::string_view reason, scheduler_context& context);
     [[nodiscard]] std::size_t waiting_tasks() const;
 
     // admission; an empty service name selects all services
@@ -319,6 +356,10 @@
     void reconcile_runs(executor_record& executor, poll_answer const& answer,
                         time_point sent_at, scheduler_context& context);
     void adopt_runs(job_record& job, scheduler_context& context);
+    /// Makes the job responsible for a run that an earlier owner or an earlier
+    /// submission of the job started.
+    void adopt_run(job_record& job, executor_record& executor, run_record& run,
+                   scheduler_context& context);
     void check_runs(executor_record& executor, scheduler_context& context);
     void record_progress(executor_record& executor, listed_run const& listed,
                          scheduler_context& context);
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace goldcrestgate::core
@@ -64,6 +65,11 @@
         return state_.fenced;
     }
 
+    /// @brief Starts or ends the evacuation of the failure domain. Meanwhile no
+    /// task starts, and jobs that have not started are rejected; runs go on.
+    void suspend(bool suspended, time_point now,
+                 std::vector<scheduler_action>& out);
+
     // --- executors ---
 
     /// @brief Adds an executor or updates its description.
@@ -112,6 +118,9 @@
 
     [[nodiscard]] scheduler_load load(time_point now) const;
 
+    /// @brief Returns the instances that have the callers of the jobs.
+    [[nodiscard]] std::set<instance_id> origins() const;
+
     /// @brief Returns the executor's learned run time divided by estimated run
     /// time.
     [[nodiscard]] double slowdown(executor_id executor) const
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -76,6 +76,21 @@
     }
 }
 
+void job_scheduler::suspend(bool suspended, time_point now,
+                            std::vector<scheduler_action>& out)
+{
+    scheduler_context context{now, out};
+    state_.suspended = suspended;
+    if (suspended)
+    {
+        state_.reject_unstarted("evacuated", context);
+    }
+    else
+    {
+        state_.place_waiting(context);
+    }
+}
+
 // --- executors ---
 
 void job_scheduler::list(executor_id id,
@@ -228,6 +243,16 @@
     return now + (busy ? busy_tick_interval : idle_tick_interval);
 }
 
+std::set<instance_id> job_scheduler::origins() const
+{
+    std::set<instance_id> origins;
+    for (auto const& [id, job] : state_.jobs)
+    {
+        origins.insert(job.origin);
+    }
+    return origins;
+}
+
 scheduler_load job_scheduler::load(time_point now) const
 {
     scheduler_load load;
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -98,13 +98,9 @@
         {
             continue;
         }
-        double const slowdown = speeds.slowdown(id);
-        auto& range = ranges
-                          .try_emplace(executor.description.service,
-                                       slowdown_range{slowdown, slowdown})
-                          .first->second;
-        range.fastest = std::min(range.fastest, slowdown);
-        range.slowest = std::max(range.slowest, slowdown);
+        auto const [entry, is_first] =
+            ranges.try_emplace(executor.description.service);
+        entry->second.include(speeds.slowdown(id), is_first);
     }
     return ranges;
 }
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -35,6 +35,9 @@
 /// s after a lost answer at the earliest, and one more attempt may follow.
 constexpr duration verdict_retention = std::chrono::seconds{4};
 
+/// Minimum retry delay of a caller whose job was rejected.
+constexpr duration rejection_retry_delay = std::chrono::seconds{1};
+
 void make_waiting(group_record& group, task_record& task)
 {
     task.phase = task_phase::waiting;
@@ -134,6 +137,12 @@
 
     auto const verdict = evaluate_admission(job, context.now);
     auto& stored = jobs.emplace(id, std::move(job)).first->second;
+    if (suspended && !stored.started)
+    {
+        end_job(id, job_outcome::rejected, rejection_retry_delay, "evacuated",
+                context);
+        return;
+    }
     if (!verdict.admitted && !stored.started)
     {
         end_job(id, job_outcome::rejected, verdict.retry_after, "overloaded",
@@ -185,7 +194,8 @@
 void scheduler_state::requeue_task(run_record const& run)
 {
     auto const found = jobs.find(run.run.task.job);
-    if (run.orphan_deadline || found == jobs.end())
+    if (run.orphan_deadline || found == jobs.end() ||
+        !has_task(found->second, run.run.task))
     {
         return;
     }
@@ -225,7 +235,8 @@
         speeds.observe(executor.id, run.estimate, spent);
     }
     auto const found = jobs.find(run.run.task.job);
-    if (run.orphan_deadline || found == jobs.end())
+    if (run.orphan_deadline || found == jobs.end() ||
+        !has_task(found->second, run.run.task))
     {
         if (end == run_end::failed)
         {
@@ -277,6 +288,24 @@
     }
 }
 
+void scheduler_state::reject_unstarted(std::string_view reason,
+                                       scheduler_context& context)
+{
+    std::vector<client_job_id> unstarted;
+    for (auto const& [id, job] : jobs)
+    {
+        if (!job.started)
+        {
+            unstarted.push_back(id);
+        }
+    }
+    for (auto const id : unstarted)
+    {
+        end_job(id, job_outcome::rejected, rejection_retry_delay, reason,
+                context);
+    }
+}
+
 void scheduler_state::expire_jobs(scheduler_context& context)
 {
     std::erase_if(retained_verdicts,
@@ -285,10 +314,11 @@
                       return entry.second.expires_at <= context.now;
                   });
     auto ranges = slowdowns(context.now);
+    bool const all_claimed = claims_complete(context.now);
     std::vector<std::pair<client_job_id, std::string_view>> ended;
     for (auto& [id, job] : jobs)
     {
-        if (job.awaits_claims && claims_complete(context.now))
+        if (job.awaits_claims && all_claimed)
         {
             job.awaits_claims = false;
             adopt_runs(job, context);
@@ -318,7 +348,7 @@
     for (auto const& [id, reason] : ended)
     {
         auto const wait = std::max<duration>(
-            std::chrono::seconds{1},
+            rejection_retry_delay,
             expected_wait(jobs.at(id).job.service, context.now));
         end_job(id, job_outcome::rejected, wait, reason, context);
     }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -207,9 +207,13 @@
         add_listed_run(executor, listed.run, context.now,
                        context.now + orphan_timeout);
     }
-    for (auto& [id, job] : jobs)
+    for (auto& run : executor.runs)
     {
-        adopt_runs(job, context);
+        auto const job = jobs.find(run.run.task.job);
+        if (job != jobs.end())
+        {
+            adopt_run(job->second, executor, run, context);
+        }
     }
 }
 
@@ -219,44 +223,50 @@
     {
         for (auto& run : executor.runs)
         {
-            auto const& task = run.run.task;
-            if (!run.orphan_deadline || task.job != job.job.id ||
-                task.group >= job.groups.size() ||
-                task.index >= job.groups[task.group].tasks.size())
+            if (run.run.task.job == job.job.id)
             {
-                continue;
+                adopt_run(job, executor, run, context);
             }
-            auto& group = job.groups[task.group];
-            auto& entry = group.tasks[task.index];
-            if (entry.phase != task_phase::waiting)
-            {
-                continue;
-            }
-            auto const& group_spec = job.job.groups[task.group];
-            entry.phase = task_phase::active;
-            entry.last_execution =
-                std::max(entry.last_execution, run.run.execution);
-            --group.waiting;
-            job.started = true;
-            run.orphan_deadline.reset();
-            if (run.amounts == resource_amounts{})
-            {
-                run.amounts = group_spec.each_task;
-                executor.used += run.amounts;
-            }
-            run.estimate = duration{};
-            run.expected_run_time = scale_duration(
-                group_spec.estimate, expected_slowdown(executor, group_spec));
-            scheduler_log_event log_event{.event = "run_adopted",
-                                          .job = job.job.id,
-                                          .run = run.run,
-                                          .executor = id};
-            log_event.slack = job.due - context.now;
-            context.out.emplace_back(log_event);
         }
     }
 }
 
+void scheduler_state::adopt_run(job_record& job, executor_record& executor,
+                                run_record& run, scheduler_context& context)
+{
+    auto const& task = run.run.task;
+    if (!run.orphan_deadline || !has_task(job, task))
+    {
+        return;
+    }
+    auto& group = job.groups[task.group];
+    auto& entry = group.tasks[task.index];
+    if (entry.phase != task_phase::waiting)
+    {
+        return;
+    }
+    auto const& group_spec = job.job.groups[task.group];
+    entry.phase = task_phase::active;
+    entry.last_execution = std::max(entry.last_execution, run.run.execution);
+    --group.waiting;
+    job.started = true;
+    run.orphan_deadline.reset();
+    if (run.amounts == resource_amounts{})
+    {
+        run.amounts = group_spec.each_task;
+        executor.used += run.amounts;
+    }
+    run.estimate = duration{};
+    run.expected_run_time = scale_duration(
+        group_spec.estimate, expected_slowdown(executor, group_spec));
+    scheduler_log_event log_event{.event = "run_adopted",
+                                  .job = job.job.id,
+                                  .run = run.run,
+                                  .executor = executor.id};
+    log_event.slack = job.due - context.now;
+    context.out.emplace_back(log_event);
+}
+
 void scheduler_state::apply_finished_runs(executor_record& executor,
                                           poll_answer const& answer,
                                           scheduler_context& context)
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -242,7 +242,9 @@
     remove_run(executor, answer.run);
     requeue_task(record);
     if (auto const job = jobs.find(answer.run.task.job);
-        job != jobs.end() && answer.outcome == order_outcome::stale_execution)
+        job != jobs.end() && !record.orphan_deadline &&
+        has_task(job->second, answer.run.task) &&
+        answer.outcome == order_outcome::stale_execution)
     {
         auto& task = job->second.groups[answer.run.task.group]
                          .tasks[answer.run.task.index];
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -61,10 +61,10 @@
                             {
                                 return run.amounts == resource_amounts{};
                             });
-    return executor.claimed && executor.clock && executor.listed &&
-           now >= executor.usable_at && !executor.unresponsive &&
-           !executor.capacity_unconfirmed && !size_unknown &&
-           !executor.description.draining &&
+    return !suspended && executor.claimed && executor.clock &&
+           executor.listed && now >= executor.usable_at &&
+           !executor.unresponsive && !executor.capacity_unconfirmed &&
+           !size_unknown && !executor.description.draining &&
            executor.health.accepts(now, executor.runs.size());
 }
 
@@ -110,73 +110,105 @@
     {
         return;
     }
-    auto ranges = slowdowns(context.now);
+    auto const pools = executor_pools(context.now);
     std::vector<std::pair<serving_position, job_record*>> order;
     order.reserve(waiting.size());
     for (auto* const job : waiting)
     {
-        double const slowest = ranges[job->job.service].slowest;
-        order.emplace_back(serving_position_of(*job, context.now, slowest),
-                           job);
+        auto const pool = pools.find(job->job.service);
+        if (pool != pools.end() && !pool->second.with_capacity.empty())
+        {
+            order.emplace_back(serving_position_of(*job, context.now,
+                                                   pool->second.speeds.slowest),
+                               job);
+        }
     }
     std::ranges::sort(order, {}, &decltype(order)::value_type::first);
     for (auto const& [position, job] : order)
     {
-        place_job(*job, ranges[job->job.service].fastest, context);
+        place_job(*job, pools.at(job->job.service), context);
     }
 }
 
+std::map<std::string_view, executor_pool>
+scheduler_state::executor_pools(time_point now) const
+{
+    std::map<std::string_view, executor_pool> pools;
+    for (auto const& [id, executor] : executors)
+    {
+        if (!accepts(executor, now))
+        {
+            continue;
+        }
+        auto const [entry, is_first] =
+            pools.try_emplace(executor.description.service);
+        auto& pool = entry->second;
+        pool.speeds.include(speeds.slowdown(id), is_first);
+        if (executor.free_capacity().cpu_millicores > 0)
+        {
+            pool.with_capacity.push_back(&executor);
+        }
+    }
+    return pools;
+}
+
 std::vector<placement_candidate>
 scheduler_state::find_candidates(job_record const& job, std::uint16_t group,
+                                 executor_pool const& pool,
                                  time_point now) const
 {
     auto const& group_spec = job.job.groups[group];
     std::vector<placement_candidate> candidates;
-    for (auto const& [id, executor] : executors)
+    for (auto const* const executor : pool.with_capacity)
     {
-        auto const& description = executor.description;
-        auto const starts = starts_left(executor, job, group);
-        if (starts == 0 || !serves(executor, job.job.service, now) ||
-            !has_label(description, group_spec.required_label))
+        auto const free = executor->free_capacity();
+        if (!group_spec.each_task.fits_into(free))
         {
             continue;
         }
-        auto const free = executor.free_capacity();
-        if (group_spec.each_task.fits_into(free))
+        // Earlier placements with the same pool may have made it unusable.
+        auto const starts = starts_left(*executor, job, group);
+        if (starts > 0 && accepts(*executor, now) &&
+            has_label(executor->description, group_spec.required_label))
         {
-            candidates.push_back(
-                {id, free, expected_slowdown(executor, group_spec), starts});
+            candidates.push_back({executor->id, free,
+                                  expected_slowdown(*executor, group_spec),
+                                  starts});
         }
     }
     return candidates;
 }
 
-void scheduler_state::place_job(job_record& job, double fastest,
+void scheduler_state::place_job(job_record& job, executor_pool const& pool,
                                 scheduler_context& context)
 {
     for (std::size_t group = 0; group < job.groups.size(); ++group)
     {
         if (job.groups[group].waiting > 0)
         {
-            place_group(job, static_cast<std::uint16_t>(group), fastest,
-                        context);
+            place_group(job, static_cast<std::uint16_t>(group), pool, context);
         }
     }
 }
 
 void scheduler_state::place_group(job_record& job, std::uint16_t group,
-                                  double fastest, scheduler_context& context)
+                                  executor_pool const& pool,
+                                  scheduler_context& context)
 {
     auto const& group_spec = job.job.groups[group];
     auto const& tasks = job.groups[group].tasks;
-    auto candidates = find_candidates(job, group, context.now);
+    auto candidates = find_candidates(job, group, pool, context.now);
+    if (candidates.empty())
+    {
+        return;
+    }
     placement_request request;
     request.demand = group_spec.each_task;
     request.estimate = group_spec.estimate;
     request.to_objective = job.due - context.now;
     request.to_limit = job.deadline - context.now;
     request.waited = context.now - (job.deadline - job.job.time_limit);
-    request.fastest_slowdown = fastest;
+    request.fastest_slowdown = pool.speeds.fastest;
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         auto const index = static_cast<std::uint16_t>(i);
