--- a/tests/unit/job_scheduler.cpp
+++ b/tests/unit/job_scheduler.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(work_of_a_lost_instance_stops_before_a_resubmission);
     CPPUNIT_TEST(lost_answers_do_not_eject_an_executor);
     CPPUNIT_TEST(replaced_executor_is_polled_rarely);
+    CPPUNIT_TEST(job_submitted_again_in_another_shape_runs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +55,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.capacity_refusals);
     }
 
+    // Guards against a process that ends because a caller submits an ended job
+    // again with fewer tasks while runs of the first one are being stopped, and
+    // an executor refuses a late one of them as stale.
+    void job_submitted_again_in_another_shape_runs()
+    {
+        executor_fleet fleet{4};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        owner.submit(7, 8, milliseconds{400});
+        std::vector<scheduler_action> out;
+        owner.scheduler.withdraw(instance_id{1}, client_job_id{7}, fleet.now(),
+                                 out);
+        owner.apply(out);
+        fleet.run_for(milliseconds{1180});
+        order_answer late;
+        late.executor = fleet.ids().front();
+        late.run = {{client_job_id{7}, 0, 7}, 1};
+        late.outcome = order_outcome::stale_execution;
+        owner.submit(7, 1, milliseconds{60});
+        out.clear();
+        owner.scheduler.start_answered(late, fleet.now(), out);
+        owner.apply(out);
+        fleet.run_for(milliseconds{400});
+        expect(owner, 7, job_outcome::completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
+    }
+
     // Guards against a successor that starts tasks which are already running.
     void successor_adopts_runs()
     {
