Offer jobs again after a reconnection, and refuse what a stop would cut off

Change: the owner keeps the jobs of an instance that returns before they are cancelled; a gateway offers its jobs again on a new connection to the same owner; starts that were definitely refused do not count as started; a stopping instance refuses a job that would hardly end before it does, and answers open jobs with 504.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -117,6 +117,8 @@
     void decide_ownership();
     void handle_pause(core::duration lateness);
     void continue_stop();
+    /// Time at which a stopping instance ends.
+    [[nodiscard]] core::time_point exit_time() const;
     [[nodiscard]] std::vector<core::owner_view> owners() const;
     [[nodiscard]] bool is_ready() const;
 
@@ -158,6 +160,8 @@
     std::unordered_map<core::request_id, io::http_reply> pending_replies_;
     std::uint64_t last_request_id_ = 0;
     std::map<core::instance_id, core::instance_key> connected_peers_;
+    /// The last process of each instance that was connected.
+    std::map<core::instance_id, core::instance_key> last_incarnations_;
     std::map<core::instance_id, std::string> known_peers_;
     /// Term of the owner whose complete executor roster is known; 0 if there is
     /// none.
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -161,14 +161,25 @@
     time_point deadline{};
     duration critical_path_time{};
     std::vector<group_record> groups;
-    /// Whether a task may have started, under this owner or an earlier one.
-    bool started = false;
+    /// Whether a task may have started under an earlier owner or an earlier
+    /// submission of the job.
+    bool inherited = false;
+    /// Start orders of this owner that no executor has definitely refused.
+    std::uint32_t unrefused_starts = 0;
     /// Whether runs of an earlier owner may exist on executors that are not
     /// claimed yet.
     bool awaits_claims = false;
     /// Set when the caller has disconnected or its instance is lost; the job's
     /// runs are stopped at this time.
     std::optional<time_point> cancel_at;
+    /// Whether the job is only cancelled because its instance seems lost.
+    bool origin_lost = false;
+
+    /// Whether a task may have started.
+    [[nodiscard]] bool started() const
+    {
+        return inherited || unrefused_starts > 0;
+    }
 };
 
 /// @brief Returns whether the job has a task at this position. A run of an
@@ -273,6 +284,8 @@
                  std::string_view reason, scheduler_context& context);
     void task_ended(executor_record& executor, run_record const& run,
                     run_end end, scheduler_context& context);
+    /// Takes back a start that the executor has definitely not carried out.
+    void revoke_start(run_record const& run);
     void requeue_task(run_record const& run);
     void attribute_failure(executor_record& executor, task_record& task,
                            time_point now);
--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -83,6 +83,15 @@
     void tick(std::span<owner_view const> owners, time_point now,
               std::vector<gateway_action>& out);
 
+    /// @brief Handles a new connection to the process of an owner: offers and
+    /// verdicts may have been lost with the earlier one, so the jobs are
+    /// offered again.
+    void owner_reconnected(instance_id owner, time_point now,
+                           std::vector<gateway_action>& out);
+
+    /// @brief Answers all open jobs as abandoned, as this process stops.
+    void abandon_all(time_point now, std::vector<gateway_action>& out);
+
     /// @brief Returns the owners that have unanswered jobs of this instance.
     [[nodiscard]] std::set<instance_id> owners_in_use() const;
 
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -96,6 +96,11 @@
     /// their jobs elsewhere.
     void origin_lost(instance_id origin, time_point now);
 
+    /// @brief Handles the return of an instance that was only silent. Its jobs
+    /// that have not been cancelled yet go on.
+    /// @pre it is the process that the jobs came from
+    void origin_returned(instance_id origin);
+
     // --- answers and time ---
 
     /// @brief Handles the answer to a start order.
--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -178,6 +178,14 @@
         return;
     }
     core::apply_route(*route, caller_wait(request), submitted.job);
+    // Callers keep using their open connections until the process has ended. A
+    // job that would hardly end before that is not accepted.
+    if (stopping_ && loop_.now() + submitted.job.objective > exit_time())
+    {
+        refuse_request(reply, status_unavailable, "instance_stopping",
+                       request.path);
+        return;
+    }
     core::request_id const handle{++last_request_id_};
     pending_replies_.emplace(handle, reply);
     reply.on_caller_disconnect(
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -468,6 +468,11 @@
     announce();
 }
 
+core::time_point entry_instance::exit_time() const
+{
+    return stopping_since_ + settings_.stop_grace - exit_margin;
+}
+
 void entry_instance::continue_stop()
 {
     auto const since = loop_.now() - stopping_since_;
@@ -479,9 +484,12 @@
     bool const idle =
         gateway_.open_jobs() == 0 && scheduler_.load(loop_.now()).jobs == 0;
     bool const drained = idle && caller_server_.connection_count() == 0;
-    bool const grace_expired = since >= settings_.stop_grace - exit_margin;
+    bool const grace_expired = loop_.now() >= exit_time();
     if ((caller_server_closed_ && drained) || grace_expired)
     {
+        std::vector<core::gateway_action> out;
+        gateway_.abandon_all(loop_.now(), out);
+        apply(out);
         log_.write(log_line{log_level::info, "stopped"}
                        .flag("graceful", idle)
                        .number("open_jobs", static_cast<std::int64_t>(
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -276,12 +276,20 @@
 
 void entry_instance::on_connected(core::instance_key const& peer)
 {
-    auto const known = connected_peers_.find(peer.instance);
-    if (known != connected_peers_.end() && known->second != peer)
+    auto& last = last_incarnations_[peer.instance];
+    bool const same_process = std::exchange(last, peer) == peer;
+    connected_peers_[peer.instance] = peer;
+    if (same_process)
+    {
+        scheduler_.origin_returned(peer.instance);
+        std::vector<core::gateway_action> out;
+        gateway_.owner_reconnected(peer.instance, loop_.now(), out);
+        apply(out);
+    }
+    else
     {
         scheduler_.origin_lost(peer.instance, loop_.now());
     }
-    connected_peers_[peer.instance] = peer;
     log_.write(log_line{log_level::info, "peer_connected"}.text(
         "peer", format_instance(peer.instance)));
     send_addresses(peer.instance);
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -258,6 +258,34 @@
     }
 }
 
+void job_gateway::owner_reconnected(instance_id owner, time_point now,
+                                    std::vector<gateway_action>& out)
+{
+    for (auto& [id, open] : jobs_)
+    {
+        if (open.owner && open.owner->instance == owner)
+        {
+            open.resumed = true;
+            out.emplace_back(
+                send_offer{owner, {open.job, now - open.arrived, true}});
+        }
+    }
+}
+
+void job_gateway::abandon_all(time_point now, std::vector<gateway_action>& out)
+{
+    while (!jobs_.empty())
+    {
+        auto const& [id, open] = *jobs_.begin();
+        if (open.owner)
+        {
+            out.emplace_back(send_withdrawal{open.owner->instance, {id}});
+        }
+        answer(client_job_id{id}, job_outcome::abandoned, {},
+               "instance_stopped", now, out);
+    }
+}
+
 std::set<instance_id> job_gateway::owners_in_use() const
 {
     std::set<instance_id> owners;
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace goldcrestgate::core
 {
@@ -171,11 +172,12 @@
     }
     scheduler_context context{now, out};
     auto& record = found->second;
-    if (!record.started)
+    if (!record.started())
     {
         state_.end_job(job, job_outcome::rejected, {}, "caller_left", context);
         return;
     }
+    record.origin_lost = false;
     // The runs may still serve a resubmission by the caller, so they continue
     // until shortly before the resubmission may arrive elsewhere.
     record.cancel_at =
@@ -192,6 +194,18 @@
         if (job.origin == origin && !job.cancel_at)
         {
             job.cancel_at = until;
+            job.origin_lost = true;
+        }
+    }
+}
+
+void job_scheduler::origin_returned(instance_id origin)
+{
+    for (auto& [id, job] : state_.jobs)
+    {
+        if (job.origin == origin && std::exchange(job.origin_lost, false))
+        {
+            job.cancel_at.reset();
         }
     }
 }
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -63,7 +63,7 @@
 {
     return core::serving_position_of(
         {job.due, latest_start(job), job_needs_fast_executor(job, now, slowest),
-         job.started},
+         job.started()},
         now);
 }
 
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -112,6 +112,7 @@
     {
         known->second.origin = origin;
         known->second.cancel_at.reset();
+        known->second.origin_lost = false;
         return;
     }
     if (auto const ended = retained_verdicts.find(id);
@@ -126,7 +127,7 @@
     job.due = context.now - offered.elapsed + offered.job.objective;
     job.deadline = context.now - offered.elapsed + offered.job.time_limit;
     job.critical_path_time = critical_path(offered.job.groups);
-    job.started = offered.resumed;
+    job.inherited = offered.resumed;
     job.awaits_claims = offered.resumed && !claims_complete(context.now);
     for (auto const& group : offered.job.groups)
     {
@@ -137,13 +138,13 @@
 
     auto const verdict = evaluate_admission(job, context.now);
     auto& stored = jobs.emplace(id, std::move(job)).first->second;
-    if (suspended && !stored.started)
+    if (suspended && !stored.started())
     {
         end_job(id, job_outcome::rejected, rejection_retry_delay, "evacuated",
                 context);
         return;
     }
-    if (!verdict.admitted && !stored.started)
+    if (!verdict.admitted && !stored.started())
     {
         end_job(id, job_outcome::rejected, verdict.retry_after, "overloaded",
                 context);
@@ -162,7 +163,7 @@
         return;
     }
     auto const& job = node.mapped();
-    if (outcome == job_outcome::rejected && job.started)
+    if (outcome == job_outcome::rejected && job.started())
     {
         outcome = job_outcome::abandoned;
     }
@@ -207,6 +208,16 @@
     }
 }
 
+void scheduler_state::revoke_start(run_record const& run)
+{
+    auto const found = jobs.find(run.run.task.job);
+    if (!run.orphan_deadline && found != jobs.end() &&
+        found->second.unrefused_starts > 0)
+    {
+        --found->second.unrefused_starts;
+    }
+}
+
 // A task that fails on two executors is itself the cause, so the failure of the
 // first executor is taken back.
 void scheduler_state::attribute_failure(executor_record& executor,
@@ -294,7 +305,7 @@
     std::vector<client_job_id> unstarted;
     for (auto const& [id, job] : jobs)
     {
-        if (!job.started)
+        if (!job.started())
         {
             unstarted.push_back(id);
         }
@@ -335,7 +346,7 @@
         {
             ended.emplace_back(id, "time_limit");
         }
-        else if (!job.started && finish > job.due)
+        else if (!job.started() && finish > job.due)
         {
             ended.emplace_back(id, "objective_missed");
         }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -249,7 +249,7 @@
     entry.phase = task_phase::active;
     entry.last_execution = std::max(entry.last_execution, run.run.execution);
     --group.waiting;
-    job.started = true;
+    job.inherited = true;
     run.orphan_deadline.reset();
     if (run.amounts == resource_amounts{})
     {
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -118,7 +118,7 @@
     auto& task = tasks.tasks[index];
     task.phase = task_phase::active;
     --tasks.waiting;
-    job.started = true;
+    ++job.unrefused_starts;
     auto const& group_spec = job.job.groups[group];
     run_record run;
     run.run = {{job.job.id, group, index}, ++task.last_execution};
@@ -238,6 +238,12 @@
         executor.capacity_unconfirmed = true;
         break;
     }
+    // An executor that calls the number of a start stale has had a run of the
+    // task.
+    if (answer.outcome != order_outcome::stale_execution)
+    {
+        revoke_start(run);
+    }
     auto const record = run;
     remove_run(executor, answer.run);
     requeue_task(record);
--- a/tests/unit/job_gateway.cpp
+++ b/tests/unit/job_gateway.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(verdict_of_an_earlier_owner_is_ignored);
     CPPUNIT_TEST(job_of_a_disconnected_caller_is_withdrawn);
     CPPUNIT_TEST(time_limit_ends_a_job);
+    CPPUNIT_TEST(stopping_instance_answers_its_open_jobs);
+    CPPUNIT_TEST(reconnected_owner_gets_the_job_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,6 +127,33 @@
         CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::abandoned);
     }
 
+    // Guards against a job that waits for a verdict which was lost together
+    // with a connection, until its caller is told that its fate is unknown.
+    void reconnected_owner_gets_the_job_again()
+    {
+        submit({owner(1, 11), owner(2, 21)});
+        out_.clear();
+        gateway_.owner_reconnected(instance_id{21}, now_, out_);
+        CPPUNIT_ASSERT(out_.empty());
+        gateway_.owner_reconnected(instance_id{11}, now_, out_);
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{11});
+        CPPUNIT_ASSERT(last<send_offer>().offer.resumed);
+        deliver_verdict(11, job_outcome::completed, {owner(1, 11)});
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::completed);
+    }
+
+    // Guards against callers that get no answer, or an internal error, from an
+    // instance that stops before their job has ended.
+    void stopping_instance_answers_its_open_jobs()
+    {
+        submit({owner(1, 11), owner(2, 21)});
+        out_.clear();
+        gateway_.abandon_all(now_, out_);
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::abandoned);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, out_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway_.open_jobs());
+    }
+
 private:
     void submit(std::vector<owner_view> const& owners)
     {
--- a/tests/unit/job_scheduler.cpp
+++ b/tests/unit/job_scheduler.cpp
@@ -35,9 +35,11 @@
     CPPUNIT_TEST(fenced_owner_reports_nothing);
     CPPUNIT_TEST(repeated_offer_gets_the_same_verdict);
     CPPUNIT_TEST(work_of_a_lost_instance_stops_before_a_resubmission);
+    CPPUNIT_TEST(work_of_a_silent_instance_goes_on_if_it_returns);
     CPPUNIT_TEST(lost_answers_do_not_eject_an_executor);
     CPPUNIT_TEST(replaced_executor_is_polled_rarely);
     CPPUNIT_TEST(job_submitted_again_in_another_shape_runs);
+    CPPUNIT_TEST(job_is_rejected_if_all_its_starts_were_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,6 +84,56 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
     }
 
+    // Guards against jobs that are given up because their instance was silent
+    // for less time than its callers wait.
+    void work_of_a_silent_instance_goes_on_if_it_returns()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        owner.submit(7, 2, milliseconds{700});
+        fleet.run_for(milliseconds{100});
+        owner.scheduler.origin_lost(instance_id{1}, fleet.now());
+        fleet.run_for(milliseconds{200});
+        owner.scheduler.origin_returned(instance_id{1});
+        fleet.run_for(milliseconds{600});
+        expect(owner, 7, job_outcome::completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.starts(client_job_id{7}));
+    }
+
+    // Guards against 504 for a job of which nothing has run: its caller may
+    // submit it elsewhere only after a true rejection. The connection to its
+    // executor was never established.
+    void job_is_rejected_if_all_its_starts_were_refused()
+    {
+        executor_fleet fleet{1};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        fleet.behaviour(fleet.ids().front()).unreachable = true;
+        std::vector<scheduler_action> out;
+        owner.scheduler.offer(
+            instance_id{1},
+            {make_leased_job(7, 1, milliseconds{60}), {}, false}, fleet.now(),
+            out);
+        std::vector<scheduler_action> next;
+        for (auto const& action : out)
+        {
+            if (auto const* const order = std::get_if<start_run>(&action))
+            {
+                order_answer refusal;
+                refusal.order = order->order;
+                refusal.executor = order->executor;
+                refusal.run = order->run;
+                refusal.outcome = order_outcome::not_sent;
+                owner.scheduler.start_answered(refusal, fleet.now(), next);
+            }
+        }
+        owner.apply(next);
+        fleet.run_for(milliseconds{1500});
+        expect(owner, 7, job_outcome::rejected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.starts(client_job_id{7}));
+    }
+
     // Guards against a successor that starts tasks which are already running.
     void successor_adopts_runs()
     {
