Read the entries of executors only on their owner

Change: successors follow the roster that the owner sends, which replaces their list, and read the store only once they claim. An instance that does not read the store removes no executor as missing.

--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -51,6 +51,12 @@
     void merge(std::vector<core::executor_description> const& executors,
                core::time_point now);
 
+    /// @brief Replaces the list by that of another instance, for an instance
+    /// that does not read the store itself. The executors count as missing from
+    /// @a now on, until the store has entries for them.
+    void replace(std::vector<core::executor_description> const& executors,
+                 core::time_point now);
+
     /// @brief Returns all executors.
     [[nodiscard]] std::vector<core::executor_description> descriptions() const;
 
@@ -85,6 +91,7 @@
     void apply_record(adapter::keyed_record const& record,
                       core::time_point now);
     entry& add(core::executor_description const& description);
+    void update(entry& known, core::executor_description const& description);
 
     core::domain_id own_domain_;
     adapter::domain_lookup domains_;
--- a/include/goldcrestgate/app/entry/topic_watch.hpp
+++ b/include/goldcrestgate/app/entry/topic_watch.hpp
@@ -56,12 +56,15 @@
     /// continues at the same record if the store still retains it.
     void pause();
 
+    /// @brief Returns whether the watch reads the topic.
+    [[nodiscard]] bool active() const
+    {
+        return active_;
+    }
+
     /// @brief Reads at once, or right after the read in flight.
     void refresh();
 
-    /// @brief Sets the timing from the next read on.
-    void set_timing(poll_timing timing);
-
     /// @brief Returns whether the last read succeeded.
     [[nodiscard]] bool reachable() const
     {
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -27,10 +27,9 @@
                                                 {}};
 
 /// Executors write their entries every 1.5 s, and a draining one may be given
-/// work for at most 2 s more. A designated successor reads them less often, to
-/// know the executors when it becomes the owner.
-constexpr poll_timing owner_poll_timing{{}, std::chrono::milliseconds{300}};
-constexpr poll_timing standby_poll_timing{{}, std::chrono::milliseconds{1500}};
+/// work for at most 2 s more. Only an owner reads them; its successors get the
+/// roster from it.
+constexpr poll_timing executors_poll_timing{{}, std::chrono::milliseconds{300}};
 
 /// A new instance connects to the others itself; reading the list also finds
 /// instances that cannot connect.
@@ -191,7 +190,7 @@
     , configuration_watch_(loop, store_, adapter::topic::configuration,
                            configuration_poll_timing, make_operator_callbacks())
     , executors_watch_(loop, store_, adapter::topic::executors,
-                       standby_poll_timing, make_executor_callbacks())
+                       executors_poll_timing, make_executor_callbacks())
     , instances_watch_(
           loop, store_, adapter::topic::instances, instances_poll_timing,
           make_topic_callbacks("instances",
@@ -420,7 +419,7 @@
         scheduler_.take_over(claim->token, roster_known, now, out);
         roster_term_ = claim->term;
         last_owner_term_ = claim->term;
-        executors_watch_.set_timing(owner_poll_timing);
+        executors_watch_.resume();
         executors_watch_.refresh();
         informed_successors_.clear();
         announce();
@@ -428,7 +427,6 @@
     else if (std::holds_alternative<core::release_ownership>(decision))
     {
         scheduler_.release_ownership(now, out);
-        executors_watch_.set_timing(standby_poll_timing);
         announce();
     }
     apply(out);
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -97,8 +97,8 @@
 }
 
 // Tells the others at once that the owner is lost, so that its successor need
-// not wait for their next regular heartbeats. Only an owner and its successors
-// read the list of executors, as it changes all the time.
+// not wait for their next regular heartbeats. Only an owner reads
+// the entries of executors, which change all the time.
 void entry_instance::follow_succession()
 {
     auto const now = loop_.now();
@@ -115,13 +115,14 @@
         // The roster of this instance is no longer kept up to date.
         roster_term_ = 0;
     }
-    if (scheduler_.owns() || is_successor || ownership_.may_claim_soon(now))
+    if (scheduler_.owns() || ownership_.may_claim_soon(now))
     {
         executors_watch_.resume();
     }
     else
     {
         executors_watch_.pause();
+        directory_.mark_store_unreachable();
     }
 }
 
@@ -357,7 +358,14 @@
                 if (roster.term >= last_owner_term_)
                 {
                     roster_term_ = roster.term;
-                    directory_.merge(roster.executors, now);
+                    if (executors_watch_.active())
+                    {
+                        directory_.merge(roster.executors, now);
+                    }
+                    else
+                    {
+                        directory_.replace(roster.executors, now);
+                    }
                 }
             },
             [&](core::executor_speeds const& report)
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -84,10 +84,16 @@
     }
     auto& stored = known->second;
     stored.missing_since.reset();
-    if (stored.description != *description)
+    update(stored, *description);
+}
+
+void executor_directory::update(entry& known,
+                                core::executor_description const& description)
+{
+    if (known.description != description)
     {
-        stored.description = std::move(*description);
-        callbacks_.on_listed(stored.id, stored.description);
+        known.description = description;
+        callbacks_.on_listed(known.id, known.description);
     }
 }
 
@@ -116,6 +122,37 @@
     }
 }
 
+void executor_directory::replace(
+    std::vector<core::executor_description> const& executors,
+    core::time_point now)
+{
+    std::set<std::string_view> present;
+    for (auto const& description : executors)
+    {
+        present.insert(description.name);
+    }
+    std::erase_if(entries_,
+                  [this, &present](auto const& item)
+                  {
+                      bool const gone = !present.contains(item.first);
+                      if (gone)
+                      {
+                          callbacks_.on_unlisted(item.second.id);
+                      }
+                      return gone;
+                  });
+    merge(executors, now);
+    for (auto const& description : executors)
+    {
+        auto const known = entries_.find(description.name);
+        if (known != entries_.end())
+        {
+            update(known->second, description);
+            known->second.missing_since = now;
+        }
+    }
+}
+
 std::optional<core::executor_id>
 executor_directory::find(std::string_view name) const
 {
--- a/src/app/entry/topic_watch.cpp
+++ b/src/app/entry/topic_watch.cpp
@@ -52,16 +52,6 @@
     next_read_timer_.cancel();
 }
 
-void topic_watch::set_timing(poll_timing timing)
-{
-    bool const faster = timing.delay < timing_.delay;
-    timing_ = timing;
-    if (faster && next_read_timer_.running())
-    {
-        next_read_timer_.start_after(timing_.delay);
-    }
-}
-
 void topic_watch::refresh()
 {
     if (next_read_timer_.running())
--- a/tests/unit/evacuation.cpp
+++ b/tests/unit/evacuation.cpp
@@ -17,7 +17,6 @@
 using std::chrono::seconds;
 using tests::executor_fleet;
 using tests::fleet_owner;
-using tests::make_leased_job;
 
 // Guards against tasks that start in a failure domain while it is being
 // evacuated, and against work that is lost through the evacuation.
--- a/tests/unit/event_loop.cpp
+++ b/tests/unit/event_loop.cpp
@@ -44,7 +44,7 @@
     {
         event_loop loop;
         auto const sockets = open_sockets(loop);
-        written_ = 0;
+        written = 0;
         loop.post(
             [&sockets]
             {
@@ -56,7 +56,7 @@
                 }
             });
         run(loop);
-        CPPUNIT_ASSERT_EQUAL(many_sockets, written_);
+        CPPUNIT_ASSERT_EQUAL(many_sockets, written);
         close_sockets(sockets);
     }
 
@@ -64,7 +64,7 @@
     {
         event_loop loop;
         auto const sockets = open_sockets(loop);
-        written_ = 0;
+        written = 0;
         loop.post(
             [this, &sockets]
             {
@@ -76,7 +76,7 @@
                 close_remote_ends();
             });
         run(loop);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, written_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, written);
     }
 
     void exception_of_a_callback_is_reported()
@@ -165,7 +165,7 @@
         h2o_socket_write(socket, &buffer, 1,
                          [](h2o_socket_t*, char const*)
                          {
-                             ++written_;
+                             ++written;
                          });
     }
 
@@ -210,7 +210,7 @@
         }
     }
 
-    static inline std::size_t written_ = 0;
+    static inline std::size_t written = 0;
     std::vector<int> remote_ends_;
 };
 
--- a/tests/unit/executor_directory.cpp
+++ b/tests/unit/executor_directory.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <set>
 
 namespace
@@ -39,6 +40,7 @@
     CPPUNIT_TEST(peer_executors_are_kept_while_the_store_is_unreachable);
     CPPUNIT_TEST(peer_executors_missing_from_the_store_are_removed);
     CPPUNIT_TEST(missing_entries_are_kept_for_a_while_after_an_outage);
+    CPPUNIT_TEST(replaced_list_follows_the_owner);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -65,6 +67,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, listed_.size());
     }
 
+    // Guards against a successor that uses executors which have left, or old
+    // descriptions: it does not read the store, and the owner's roster is all
+    // that it knows.
+    void replaced_list_follows_the_owner()
+    {
+        auto directory = make_directory();
+        directory.replace({make_description("e1"), make_description("e2")},
+                          now_);
+        directory.mark_store_unreachable();
+        auto draining = make_description("e2");
+        draining.draining = true;
+        directory.replace({draining, make_description("e3")}, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
+        CPPUNIT_ASSERT(!directory.find("e1"));
+        auto const all = directory.descriptions();
+        CPPUNIT_ASSERT(std::ranges::find(all, draining) != all.end());
+        pass(milliseconds{9000}, directory);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
+        directory.apply_changes(make_page({make_entry("e3")}), now_);
+        pass(milliseconds{3000}, directory);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.size());
+    }
+
     void peer_executors_missing_from_the_store_are_removed()
     {
         auto directory = make_directory();
