--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -97,8 +97,8 @@
 }
 
 // Tells the others at once that the owner is lost, so that its successor need
-// not wait for their next regular heartbeats. Only an owner and its successors
-// read the list of executors, as it changes all the time.
+// not wait for their next regular heartbeats. Only an owner reads
+// the entries of executors, which change all the time.
 void entry_instance::follow_succession()
 {
     auto const now = loop_.now();
@@ -115,13 +115,14 @@
         // The roster of this instance is no longer kept up to date.
         roster_term_ = 0;
     }
-    if (scheduler_.owns() || is_successor || ownership_.may_claim_soon(now))
+    if (scheduler_.owns() || ownership_.may_claim_soon(now))
     {
         executors_watch_.resume();
     }
     else
     {
         executors_watch_.pause();
+        directory_.mark_store_unreachable();
     }
 }
 
@@ -276,12 +277,20 @@
 
 void entry_instance::on_connected(core::instance_key const& peer)
 {
-    auto const known = connected_peers_.find(peer.instance);
-    if (known != connected_peers_.end() && known->second != peer)
+    auto& last = last_incarnations_[peer.instance];
+    bool const same_process = std::exchange(last, peer) == peer;
+    connected_peers_[peer.instance] = peer;
+    if (same_process)
+    {
+        scheduler_.origin_returned(peer.instance);
+        std::vector<core::gateway_action> out;
+        gateway_.owner_reconnected(peer.instance, loop_.now(), out);
+        apply(out);
+    }
+    else
     {
         scheduler_.origin_lost(peer.instance, loop_.now());
     }
-    connected_peers_[peer.instance] = peer;
     log_.write(log_line{log_level::info, "peer_connected"}.text(
         "peer", format_instance(peer.instance)));
     send_addresses(peer.instance);
@@ -349,7 +358,14 @@
                 if (roster.term >= last_owner_term_)
                 {
                     roster_term_ = roster.term;
-                    directory_.merge(roster.executors, now);
+                    if (executors_watch_.active())
+                    {
+                        directory_.merge(roster.executors, now);
+                    }
+                    else
+                    {
+                        directory_.replace(roster.executors, now);
+                    }
                 }
             },
             [&](core::executor_speeds const& report)
