Keep the runs of a restarted executor until it has listed them

Found by reading: when an owner learned that an executor had restarted, it took all runs there for ended. The new process may have accepted their starts before, and any event that places waiting tasks then started them elsewhere before the executor listed them.

Change: a restarted executor is claimed again and its list decides which runs have ended. One that moved to another address has lost its runs as before.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -344,6 +344,10 @@
     void fence_executor(executor_record& executor, scheduler_context& context);
     void lose_executor(executor_record& executor, std::string_view reason,
                        scheduler_context& context);
+    /// Handles a new process of an executor at the same address.
+    static void restart_executor(executor_record& executor,
+                                 std::uint64_t incarnation,
+                                 scheduler_context& context);
     void remove_run(executor_record& executor, task_run const& run);
     [[nodiscard]] run_record* find_run(executor_record& executor,
                                        task_run const& run) const;
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -101,15 +101,21 @@
     scheduler_context context{now, out};
     auto& executor = state_.executors[id];
     bool const is_new = executor.description.address.empty();
+    bool const moved =
+        !is_new && executor.description.address != description.address;
     bool const restarted =
-        !is_new &&
-        (executor.description.incarnation != description.incarnation ||
-         executor.description.address != description.address);
+        !is_new && executor.description.incarnation != description.incarnation;
     bool const relabelled =
         is_new || executor.description.labels != description.labels;
-    if (restarted)
+    if (moved)
     {
-        state_.lose_executor(executor, "restarted", context);
+        state_.lose_executor(executor, "moved", context);
+        executor.health = {};
+    }
+    else if (restarted)
+    {
+        detail::scheduler_state::restart_executor(
+            executor, description.incarnation, context);
         executor.health = {};
     }
     executor.id = id;
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -119,8 +119,7 @@
         answer.incarnation != executor.description.incarnation;
     if (restarted)
     {
-        lose_executor(executor, "restarted", context);
-        executor.description.incarnation = answer.incarnation;
+        restart_executor(executor, answer.incarnation, context);
     }
     record_clock(executor, answer.clock, context.now);
     executor.unresponsive = false;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -298,7 +298,28 @@
     lose_executor(executor, "fenced", context);
 }
 
-// After a restart the executor has no runs. After a refusal as fenced, another
+// The new process may have accepted starts before this instance learned of the
+// restart. The recorded runs therefore stay until the executor has listed what
+// runs; a task that runs there must not start elsewhere.
+void scheduler_state::restart_executor(executor_record& executor,
+                                       std::uint64_t incarnation,
+                                       scheduler_context& context)
+{
+    scheduler_log_event log_event{.event = "executor_lost",
+                                  .executor = executor.id};
+    log_event.reason = "restarted";
+    log_event.count = executor.runs.size();
+    context.out.emplace_back(log_event);
+    executor.description.incarnation = incarnation;
+    executor.claimed = false;
+    executor.poll.reset();
+    executor.next_poll_at = context.now;
+    executor.clock.reset();
+    executor.acknowledged = 0;
+    executor.unresponsive = false;
+}
+
+// A lost executor has no runs. After a refusal as fenced, another
 // owner may keep the runs alive, so they stay recorded until the executor is
 // claimed again or ownership is released.
 void scheduler_state::lose_executor(executor_record& executor,
--- a/tests/failure/harness/leased.py
+++ b/tests/failure/harness/leased.py
@@ -211,9 +211,11 @@
         request = json.loads(body)
         if self.fault == "late" and path == "/api/run-start":
             time.sleep(random.uniform(0.2, 2.0))
-            self.process_request(path, request)
+            answer = self.process_request(path, request)
+            self.system.record_order(self, path, request, answer)
             return None
         answer = self.process_request(path, request)
+        self.system.record_order(self, path, request, answer)
         return None if self.fault == "lost" else answer
 
     def process_request(self, path, request):
@@ -370,6 +372,7 @@
         self.folder = tempfile.mkdtemp(prefix="goldcrestgate-test-")
         self.lock = threading.Lock()
         self.duplicate_runs = []
+        self.orders = []
         self.unknown_starts = []
         self.starts = {}
         self.payloads = {}
@@ -401,9 +404,21 @@
             raise
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, failure, *_):
+        if failure is not None:
+            self.keep_logs()
         self.close()
 
+    def keep_logs(self):
+        """Keeps the logs of the instances, and the orders that the executors
+        received, of a run that has failed."""
+        kept = tempfile.mkdtemp(prefix="goldcrestgate-failed-")
+        shutil.copytree(self.folder, kept, dirs_exist_ok=True)
+        with open(os.path.join(kept, "orders.jsonl"), "w",
+                  encoding="utf-8") as file:
+            file.writelines(json.dumps(order) + "\n" for order in self.orders)
+        print("logs and orders are kept in", kept, flush=True)
+
     def close(self):
         for instance in self.instances:
             instance.process.close()
@@ -450,6 +465,15 @@
                     self.duplicate_runs.append(
                         (task, executor.name, other.name))
 
+    def record_order(self, executor, path, request, answer):
+        self.orders.append({
+            "time_ms": int(time.time() * 1000), "clock_ms": now_ms(),
+            "executor": executor.name, "path": path, "status": answer[0],
+            **{key: value for key, value in request.items()
+               if key != "task_spec"},
+            **({} if path.endswith("hold") else
+               {"answer": json.loads(answer[1])})})
+
     def start_count(self, job_id):
         with self.lock:
             return sum(count for task, count in self.starts.items()
--- a/tests/failure/test_leased_soak.py
+++ b/tests/failure/test_leased_soak.py
@@ -20,7 +20,10 @@
 RUN_S = 5.0
 
 # Seeds that have failed, with the cause of each failure.
-REGRESSION_SEEDS = {}
+REGRESSION_SEEDS = {
+    308: "an executor restarted and accepted a start before its owner learned "
+         "of the restart; the owner started the task again elsewhere",
+}
 
 
 def main():
--- a/tests/unit/job_scheduler.cpp
+++ b/tests/unit/job_scheduler.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(replaced_executor_is_polled_rarely);
     CPPUNIT_TEST(job_submitted_again_in_another_shape_runs);
     CPPUNIT_TEST(job_is_rejected_if_all_its_starts_were_refused);
+    CPPUNIT_TEST(run_on_a_restarted_executor_is_not_started_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.starts(client_job_id{7}));
     }
 
+    // Guards against two runs of a task at a time: the news that an executor
+    // has restarted arrives after its new process has accepted the start.
+    void run_on_a_restarted_executor_is_not_started_again()
+    {
+        executor_fleet fleet{3};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        owner.submit(7, 1, milliseconds{300});
+        fleet.run_for(milliseconds{20});
+        for (auto const id : fleet.ids())
+        {
+            if (fleet.running(client_job_id{7}, id) > 0)
+            {
+                auto restarted = fleet.description(id);
+                ++restarted.incarnation;
+                std::vector<scheduler_action> out;
+                owner.scheduler.list(id, restarted, fleet.now(), out);
+                owner.apply(out);
+            }
+        }
+        // Any event places waiting tasks, also before the executor has
+        // answered.
+        owner.submit(8, 1, milliseconds{60});
+        fleet.run_for(milliseconds{600});
+        expect(owner, 7, job_outcome::completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(client_job_id{7}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
+    }
+
     // Guards against 504 for a job of which nothing has run: its caller may
     // submit it elsewhere only after a true rejection. The connection to its
     // executor was never established.
