Replay restarts of several executors within a second in virtual time

The simulated fleet had no restart that loses the executor's runs, clock and memory, so no test could show the fault or its relatives.

Change: executor_fleet restarts an executor in place, gives each process its own clock and counts starts of tasks whose end as done was acknowledged.

--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -78,16 +78,31 @@
     description.labels = std::move(labels);
 }
 
-executor_clock executor_fleet::clock() const
+void executor_fleet::restart(executor_id id)
+{
+    auto& target = executors_.at(id);
+    ++target.description.incarnation;
+    target.started_at = now_;
+    target.token = 0;
+    target.last_finished_number = 0;
+    target.lease_until = {};
+    target.runs.clear();
+    target.finished.clear();
+    target.highest_ended.clear();
+    target.waiting_polls.clear();
+}
+
+executor_clock executor_fleet::clock(simulated_executor const& target) const
 {
     return executor_clock{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())
+        std::chrono::duration_cast<milliseconds>(now_ - target.started_at)
             .count())};
 }
 
-time_point executor_fleet::to_time(executor_clock clock)
+time_point executor_fleet::to_time(simulated_executor const& target,
+                                   executor_clock clock)
 {
-    return time_point{milliseconds{clock.value()}};
+    return target.started_at + milliseconds{clock.value()};
 }
 
 void executor_fleet::schedule(duration delay, std::function<void()> work)
@@ -181,7 +196,7 @@
         return order_outcome::fenced;
     }
     target.token = order.token.value();
-    if (to_time(order.lease_until) <= now_)
+    if (to_time(target, order.lease_until) <= now_)
     {
         return order_outcome::lease_expired;
     }
@@ -206,10 +221,11 @@
                                       return run.run.task == order.run.task;
                                   }));
     }
+    starts_after_end += acknowledged_as_done_.count(order.run.task);
     ++starts_[order.run.task.job];
-    target.lease_until =
-        std::max(target.lease_until,
-                 std::min(to_time(order.lease_until), now_ + longest_lease));
+    target.lease_until = std::max(
+        target.lease_until,
+        std::min(to_time(target, order.lease_until), now_ + longest_lease));
     auto const total = run_time(target, order.run.task);
     auto const ends = target.behaviour.hangs ? time_point::max() : now_ + total;
     target.runs.push_back({order.run, now_, ends, total});
@@ -249,7 +265,7 @@
                  auto const outcome = target.behaviour.replaced
                                           ? order_outcome::other_incarnation
                                           : start(target, order);
-                 auto const read = clock();
+                 auto const read = clock(target);
                  schedule(one_way_latency,
                           [order, answer, outcome, read]
                           {
@@ -272,25 +288,30 @@
                  });
         return;
     }
-    schedule(
-        one_way_latency,
-        [this, order, answer, &target]
-        {
-            auto outcome = order_outcome::fenced;
-            if (order.token.value() >= target.token)
-            {
-                target.token = order.token.value();
-                outcome = order_outcome::accepted;
-                auto& highest = target.highest_ended[order.run.task];
-                highest = std::max(highest, order.run.execution);
-                schedule(stop_time,
-                         [this, order, &target]
-                         {
-                             end_run(target, order.run, run_end::stopped);
-                         });
-            }
-            answer({order.order, order.executor, order.run, outcome, clock()});
-        });
+    schedule(one_way_latency,
+             [this, order, answer, &target]
+             {
+                 auto outcome = order_outcome::fenced;
+                 if (order.token.value() >= target.token)
+                 {
+                     target.token = order.token.value();
+                     outcome = order_outcome::accepted;
+                     auto& highest = target.highest_ended[order.run.task];
+                     highest = std::max(highest, order.run.execution);
+                     auto const process = target.description.incarnation;
+                     schedule(stop_time,
+                              [this, order, process, &target]
+                              {
+                                  if (target.description.incarnation == process)
+                                  {
+                                      end_run(target, order.run,
+                                              run_end::stopped);
+                                  }
+                              });
+                 }
+                 answer({order.order, order.executor, order.run, outcome,
+                         clock(target)});
+             });
 }
 
 bool executor_fleet::drops_order()
@@ -310,7 +331,7 @@
         answer.outcome = order_outcome::other_incarnation;
         return answer;
     }
-    answer.clock = clock();
+    answer.clock = clock(target);
     answer.incarnation = target.description.incarnation;
     if (order.token.value() < target.token)
     {
@@ -321,14 +342,19 @@
     answer.outcome = order_outcome::accepted;
     if (order.lease_until)
     {
-        target.lease_until =
-            std::max(target.lease_until, std::min(to_time(*order.lease_until),
-                                                  now_ + longest_lease));
+        target.lease_until = std::max(
+            target.lease_until, std::min(to_time(target, *order.lease_until),
+                                         now_ + longest_lease));
     }
     std::erase_if(target.finished,
-                  [&order](finished_run const& run)
+                  [this, &order](finished_run const& run)
                   {
-                      return run.number <= order.acknowledged;
+                      bool const forgotten = run.number <= order.acknowledged;
+                      if (forgotten && run.end == run_end::done)
+                      {
+                          acknowledged_as_done_.insert(run.run.task);
+                      }
+                      return forgotten;
                   });
     for (auto const& run : target.runs)
     {
@@ -368,7 +394,7 @@
     auto const reply = [this, order, answer, done, &target]
     {
         auto const found = handle_poll(target, order);
-        schedule(one_way_latency,
+        schedule(one_way_latency + target.behaviour.poll_answer_delay,
                  [answer, done, found, &target]
                  {
                      if (!target.behaviour.unreachable &&
@@ -389,7 +415,15 @@
                      return;
                  }
                  target.waiting_polls.emplace_back(reply);
-                 schedule(order.wait, reply);
+                 auto const process = target.description.incarnation;
+                 schedule(order.wait,
+                          [reply, process, &target]
+                          {
+                              if (target.description.incarnation == process)
+                              {
+                                  reply();
+                              }
+                          });
              });
 }
 
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -28,14 +28,16 @@
     bool replaced = false;
     /// Start orders get no answer and take effect after this delay.
     std::optional<core::duration> start_delay;
+    /// Additional delay of the answers to polls.
+    core::duration poll_answer_delay{};
 };
 
 /// @brief Simulates executors in virtual time: capacity, leases, fencing tokens
 /// and lists of running and finished runs, as in the platform's protocol.
 ///
-/// Counts violations of the protocol's guarantees: concurrent runs of one task
-/// and starts beyond an executor's capacity. It also counts the starts of each
-/// job, for checks that a rejected job has none.
+/// Counts violations of the protocol's guarantees: concurrent runs of one task,
+/// starts of a task that has ended and starts beyond an executor's capacity. It
+/// also counts the starts of each job, for checks that a rejected job has none.
 class executor_fleet
 {
 public:
@@ -69,6 +71,11 @@
     void describe(core::executor_id id, std::string service,
                   std::vector<std::string> labels);
 
+    /// @brief Restarts an executor's process under its id and at its address:
+    /// its runs, its memory and its clock are lost. Orders on their way reach
+    /// the new process; polls that wait get no answer.
+    void restart(core::executor_id id);
+
     void order(core::start_run const& order, order_callback const& answer);
     void order(core::stop_run const& order, order_callback const& answer);
     void order(core::poll_executor const& order, poll_callback const& answer);
@@ -91,6 +98,8 @@
 
     /// Number of starts of a task that already had a run.
     std::size_t duplicate_runs = 0;
+    /// Number of starts of a task after an owner acknowledged its end as done.
+    std::size_t starts_after_end = 0;
     /// Number of starts refused because the executor had no capacity.
     std::size_t capacity_refusals = 0;
     /// Number of orders sent so far.
@@ -113,6 +122,8 @@
     {
         core::executor_description description;
         executor_behaviour behaviour;
+        /// Start of the process, at which its clock shows 0.
+        core::time_point started_at{};
         std::uint64_t token = 0;
         std::uint64_t last_finished_number = 0;
         core::time_point lease_until{};
@@ -132,8 +143,10 @@
     void end_run(simulated_executor& target, core::task_run const& run,
                  core::run_end end);
     void advance(simulated_executor& target);
-    [[nodiscard]] core::executor_clock clock() const;
-    [[nodiscard]] static core::time_point to_time(core::executor_clock clock);
+    [[nodiscard]] core::executor_clock
+    clock(simulated_executor const& target) const;
+    [[nodiscard]] static core::time_point
+    to_time(simulated_executor const& target, core::executor_clock clock);
 
     core::time_point now_{std::chrono::seconds{1000}};
     std::uint64_t sequence_ = 0;
@@ -144,6 +157,7 @@
     std::map<core::leased_task, core::duration> task_work_;
     std::map<core::client_job_id, std::string> data_racks_;
     std::map<core::client_job_id, std::size_t> starts_;
+    std::set<core::leased_task> acknowledged_as_done_;
 };
 
 } // namespace goldcrestgate::tests
--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -57,9 +57,14 @@
 }
 
 void fleet_owner::list(executor_id id)
+{
+    list(id, fleet_.description(id));
+}
+
+void fleet_owner::list(executor_id id, executor_description const& description)
 {
     std::vector<scheduler_action> out;
-    scheduler.list(id, fleet_.description(id), fleet_.now(), out);
+    scheduler.list(id, description, fleet_.now(), out);
     apply(out);
 }
 
@@ -106,6 +111,7 @@
             detail::overloaded{
                 [&](start_run const& order)
                 {
+                    start_orders.push_back(order);
                     fleet_.order(order,
                                  answered(&job_scheduler::start_answered));
                 },
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -28,6 +28,8 @@
 
     void list_all();
     void list(core::executor_id id);
+    void list(core::executor_id id,
+              core::executor_description const& description);
     void take_over(std::uint64_t token, bool roster_known);
     void offer(core::leased_job const& job, bool resumed = false,
                core::instance_id origin = core::instance_id{1});
@@ -41,6 +43,8 @@
     core::job_scheduler scheduler;
     std::map<core::client_job_id, core::job_verdict> verdicts;
     std::map<core::client_job_id, core::time_point> ended_at;
+    /// All start orders so far.
+    std::vector<core::start_run> start_orders;
 
     /// @brief Executes the actions that the scheduler asks for.
     void apply(std::vector<core::scheduler_action> const& actions);
