Acknowledge ends only in a poll that follows an answer at once

Cause: every poll acknowledged the highest end known. An executor that had restarted got the number of its earlier process with the next poll, forgot its own first ends, and the owner took their runs for lost. Change: only the poll that is sent at the answer of another poll acknowledges ends; other polls carry 0, which forgets nothing. The simulated executor forgets ends when a poll arrives, not again when it answers ("ends up to last_seen are forgotten, the others are returned"); with that, the first version of the test passes without the fix, so a poll that is sent later takes its place. Ruled out: acknowledgements cannot name a process; a restart between an answer and the arrival of the poll that follows it remains possible (about 1 ms).

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -356,7 +356,13 @@
     [[nodiscard]] order_id next_order();
 
     // leases
-    void send_poll(executor_record& executor, scheduler_context& context);
+    /// Sends a poll.
+    /// @param acknowledged last finished run that the executor may drop. Only a
+    /// poll that follows an answer at once acknowledges any: a process that has
+    /// started since the answer numbers its own runs from 1 and would drop them
+    /// unseen.
+    void send_poll(executor_record& executor, scheduler_context& context,
+                   std::uint64_t acknowledged = 0);
     void poll_answered(poll_answer const& answer, scheduler_context& context);
     void poll_failed(executor_record& executor, order_outcome outcome,
                      time_point sent_at, scheduler_context& context);
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -60,13 +60,14 @@
 }
 
 void scheduler_state::send_poll(executor_record& executor,
-                                scheduler_context& context)
+                                scheduler_context& context,
+                                std::uint64_t acknowledged)
 {
     poll_executor order;
     order.order = next_order();
     order.executor = executor.id;
     order.token = token;
-    order.acknowledged = executor.claimed ? executor.acknowledged : 0;
+    order.acknowledged = acknowledged;
     bool const renews = executor.claimed && !executor.unresponsive;
     if (renews)
     {
@@ -135,7 +136,7 @@
         executor.capacity_unconfirmed = false;
         if (!executor.runs.empty())
         {
-            send_poll(executor, context);
+            send_poll(executor, context, executor.acknowledged);
         }
     }
 }
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 
 namespace goldcrestgate::tests
@@ -320,6 +321,25 @@
     return drop_every_nth_order > 0 && orders_sent % drop_every_nth_order == 0;
 }
 
+void executor_fleet::forget_ends(simulated_executor& target,
+                                 poll_executor const& order)
+{
+    if (target.behaviour.replaced || order.token.value() < target.token)
+    {
+        return;
+    }
+    std::erase_if(target.finished,
+                  [this, &order](finished_run const& run)
+                  {
+                      bool const forgotten = run.number <= order.acknowledged;
+                      if (forgotten && run.end == run_end::done)
+                      {
+                          acknowledged_as_done_.insert(run.run.task);
+                      }
+                      return forgotten;
+                  });
+}
+
 poll_answer executor_fleet::handle_poll(simulated_executor& target,
                                         poll_executor const& order)
 {
@@ -346,16 +366,6 @@
             target.lease_until, std::min(to_time(target, *order.lease_until),
                                          now_ + longest_lease));
     }
-    std::erase_if(target.finished,
-                  [this, &order](finished_run const& run)
-                  {
-                      bool const forgotten = run.number <= order.acknowledged;
-                      if (forgotten && run.end == run_end::done)
-                      {
-                          acknowledged_as_done_.insert(run.run.task);
-                      }
-                      return forgotten;
-                  });
     for (auto const& run : target.runs)
     {
         double const percent =
@@ -366,7 +376,11 @@
         answer.running.push_back(
             {run.run, static_cast<std::uint32_t>(std::min(percent, 99.0))});
     }
-    answer.finished = target.finished;
+    std::ranges::copy_if(target.finished, std::back_inserter(answer.finished),
+                         [&order](finished_run const& run)
+                         {
+                             return run.number > order.acknowledged;
+                         });
     return answer;
 }
 
@@ -407,6 +421,7 @@
     schedule(one_way_latency,
              [this, order, reply, &target]
              {
+                 forget_ends(target, order);
                  auto const found = handle_poll(target, order);
                  if (order.wait <= duration{} || !found.finished.empty() ||
                      found.outcome != order_outcome::accepted)
--- a/tests/unit/restart_acknowledgement.cpp
+++ b/tests/unit/restart_acknowledgement.cpp
@@ -19,23 +19,24 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a start of a task that is done: the poll that accompanied
-    // the first start after a restart acknowledged the ends of the earlier
+    // Guards against a start of a task that is done: a poll that was sent
+    // before the owner knew of a restart acknowledged the ends of the earlier
     // process, and the new process forgot its first end unseen.
     void end_on_the_new_process_is_not_forgotten_unseen()
     {
-        executor_fleet fleet{2};
+        executor_fleet fleet{1};
         fleet_owner owner{fleet};
         owner.start(1);
-        owner.submit(1, 4, milliseconds{40});
+        owner.submit(1, 2, milliseconds{40});
         fleet.run_for(milliseconds{200});
-        for (auto const id : fleet.ids())
-        {
-            fleet.restart(id);
-        }
-        owner.submit(2, 1, milliseconds{100});
+        // The poll that accompanies this run waits at the earlier process and
+        // is lost with it.
+        owner.submit(2, 1, milliseconds{300});
+        fleet.run_for(milliseconds{20});
+        fleet.restart(executor_id{1});
+        owner.submit(3, 1, milliseconds{50});
         fleet.run_for(milliseconds{1500});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(client_job_id{2}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(client_job_id{3}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.starts_after_end);
     }
 };
--- a/tests/unit/restarted_executors.cpp
+++ b/tests/unit/restarted_executors.cpp
@@ -99,6 +99,8 @@
         auto const message = "seed " + std::to_string(seed);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{0},
                                      fleet.duplicate_runs);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{0},
+                                     fleet.starts_after_end);
         tests::check_rejections(fleet, owner);
     }
 };
