Add a failing test of a stale entry with an earlier address

Cause: an entry with another address counts as a move, and all runs of the executor are taken for ended at once, also if the entry is of an earlier process. The lists of executors that instances send each other may be old.

--- /dev/null
+++ b/tests/unit/restart_moved.cpp
@@ -0,0 +1,46 @@
+#include "support/fleet_owner.hpp"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace goldcrestgate;
+using namespace goldcrestgate::core;
+using std::chrono::milliseconds;
+using tests::executor_fleet;
+using tests::fleet_owner;
+
+class restart_moved_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(restart_moved_test);
+    CPPUNIT_TEST(stale_entry_with_an_earlier_address_ends_no_run);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against two runs of a task at a time: an entry that was written
+    // before the executor restarted at another address arrived after the entry
+    // of the new process, and the runs there were taken for ended.
+    void stale_entry_with_an_earlier_address_ends_no_run()
+    {
+        executor_fleet fleet{3};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        owner.submit(1, 1, milliseconds{300});
+        fleet.run_for(milliseconds{20});
+        auto const id = owner.start_orders.back().executor;
+        auto stale = fleet.description(id);
+        --stale.incarnation;
+        stale.address = "127.0.0.1:8999";
+        owner.list(id, stale);
+        owner.submit(2, 1, milliseconds{60});
+        fleet.run_for(milliseconds{600});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(client_job_id{1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(restart_moved_test, "restart_moved");
+
+} // namespace
