Repeat stops that only an earlier process of an executor accepted

Cause: a stop that the earlier process accepted ended the run for its owner, but a restarted executor remembers no stop and carried out the start, whose order arrived late. Change: an executor's record keeps the last order that was sent before a restart was known; a stop counts only if it was sent after that order. At a restart the stops of runs, and of starts without an answer in the last 5 s, are repeated. Remaining: a late start that arrives before the owner learns of the restart still runs; a start order cannot name the process that it is meant for.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -85,6 +85,14 @@
     std::optional<time_point> orphan_deadline;
 };
 
+/// @brief A start that got no answer and may arrive late.
+struct unanswered_start
+{
+    task_run run;
+    /// Time until which the start may arrive.
+    time_point until{};
+};
+
 /// @brief State of one executor as known to its owner.
 struct executor_record
 {
@@ -106,6 +114,13 @@
     /// expired, unless an order renews the lease.
     time_point lease_expires_at{};
     std::uint64_t acknowledged = 0;
+    /// Last order that was sent before this instance knew of the executor's
+    /// present process. An earlier process may have answered it and the orders
+    /// before it.
+    order_id last_uncertain_order;
+    /// Runs that were stopped after their start got no answer, until the start
+    /// can no longer arrive.
+    std::vector<unanswered_start> unanswered_starts;
     std::optional<order_id> poll;
     time_point poll_sent_at{};
     time_point next_poll_at{};
@@ -345,9 +360,15 @@
     void lose_executor(executor_record& executor, std::string_view reason,
                        scheduler_context& context);
     /// Handles a new process of an executor at the same address.
-    static void restart_executor(executor_record& executor,
-                                 std::uint64_t incarnation,
-                                 scheduler_context& context);
+    void restart_executor(executor_record& executor, std::uint64_t incarnation,
+                          scheduler_context& context);
+    /// Stops on the present process the runs that an earlier process has
+    /// stopped, as their starts may still arrive.
+    void repeat_stops(executor_record& executor, scheduler_context& context);
+    /// Whether an order was sent to the executor's present process.
+    [[nodiscard]] static bool
+    was_sent_to_present_process(executor_record const& executor,
+                                order_id order);
     void remove_run(executor_record& executor, task_run const& run);
     [[nodiscard]] run_record* find_run(executor_record& executor,
                                        task_run const& run) const;
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -72,6 +72,7 @@
         executor.claimed = false;
         executor.poll.reset();
         executor.runs.clear();
+        executor.unanswered_starts.clear();
         executor.used = {};
         executor.lease_expires_at = now + state_.lease_expiry_time();
     }
@@ -114,8 +115,7 @@
     }
     else if (restarted)
     {
-        detail::scheduler_state::restart_executor(
-            executor, description.incarnation, context);
+        state_.restart_executor(executor, description.incarnation, context);
         executor.health = {};
     }
     executor.id = id;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -48,10 +48,22 @@
 /// Delay between attempts to stop a run.
 constexpr duration stop_retry_delay = std::chrono::milliseconds{60};
 
+/// Time for which an order without an answer may still arrive.
+constexpr duration late_order_time = std::chrono::seconds{5};
+
 /// Increment of a task's execution number after a refusal as stale, because the
 /// number that an earlier owner used is unknown.
 constexpr std::uint32_t stale_execution_step = 8;
 
+void forget_old_starts(executor_record& executor, time_point now)
+{
+    std::erase_if(executor.unanswered_starts,
+                  [now](unanswered_start const& start)
+                  {
+                      return start.until <= now;
+                  });
+}
+
 } // namespace
 
 order_id scheduler_state::next_order()
@@ -225,6 +237,9 @@
         {
             executor.health.record_timeout(context.now);
         }
+        forget_old_starts(executor, context.now);
+        executor.unanswered_starts.push_back(
+            {run.run, context.now + late_order_time});
         request_stop(executor, run, context);
         return;
     case order_outcome::not_sent:
@@ -281,6 +296,11 @@
     {
     case order_outcome::accepted:
     case order_outcome::stale_execution:
+        if (!was_sent_to_present_process(executor, answer.order))
+        {
+            run.stop_due = context.now;
+            return;
+        }
         run.phase = run_phase::stop_accepted;
         run.stop_due = context.now + limits.stop_time;
         return;
@@ -317,6 +337,37 @@
     executor.clock.reset();
     executor.acknowledged = 0;
     executor.unresponsive = false;
+    executor.last_uncertain_order = order_id{last_order};
+    repeat_stops(executor, context);
+}
+
+void scheduler_state::repeat_stops(executor_record& executor,
+                                   scheduler_context& context)
+{
+    for (auto& run : executor.runs)
+    {
+        if (run.phase == run_phase::stop_accepted)
+        {
+            run.phase = run_phase::stopping;
+            request_stop(executor, run, context);
+        }
+    }
+    forget_old_starts(executor, context.now);
+    for (auto const& start : executor.unanswered_starts)
+    {
+        if (find_run(executor, start.run) == nullptr)
+        {
+            context.out.emplace_back(stop_run{next_order(), executor.id,
+                                              start.run, token,
+                                              order_answer_timeout});
+        }
+    }
+}
+
+bool scheduler_state::was_sent_to_present_process(
+    executor_record const& executor, order_id order)
+{
+    return order.value() > executor.last_uncertain_order.value();
 }
 
 // A lost executor has no runs. After a refusal as fenced, another
