Ignore answers to orders that an earlier process may have received

Cause: the clock of a late answer of the earlier process became the clock by which the deadlines of starts on the new process were computed, and a late list made the earlier process the present one again, with its numbers of ends. Change: scheduler_state::was_sent_to_present_process decides for clocks and lists whether an answer counts. Answers to starts and stops carry no "born" on the page, so the decision rests on when the order was sent. A start that the earlier process answered still counts as running; the next list decides.

--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -92,6 +92,10 @@
         return;
     }
     auto& executor = found->second;
+    if (!was_sent_to_present_process(executor, answer.order))
+    {
+        return;
+    }
     bool const is_latest = executor.poll == answer.order;
     auto const sent_at = executor.poll_sent_at;
     if (is_latest)
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -173,7 +173,10 @@
         return std::nullopt;
     }
     auto& executor = found->second;
-    record_clock(executor, answer.clock, now);
+    if (was_sent_to_present_process(executor, answer.order))
+    {
+        record_clock(executor, answer.clock, now);
+    }
     auto* const run = find_run(executor, answer.run);
     if (run == nullptr)
     {
