Ignore an entry of an executor that is older than the known one

An old entry with an earlier address counted as a move of the executor, and its runs as ended. Change: records carry their offset, and the directory ignores a record before the last one of its entry. Comparing "born" in the scheduler instead was ruled out: a machine whose clock was set back restarts with a lower value. The test therefore goes through the directory, with the same checks as before.

--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -86,6 +86,8 @@
         core::executor_id id;
         core::executor_description description;
         std::optional<core::time_point> missing_since;
+        /// Offset of the last record of the entry in the store.
+        std::optional<std::uint64_t> offset;
     };
 
     void apply_record(adapter::keyed_record const& record,
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -58,6 +58,17 @@
                                       core::time_point now)
 {
     auto const known = entries_.find(record.key);
+    // Reading on after a snapshot repeats records that are older than those of
+    // its later pages.
+    if (known != entries_.end() && record.offset &&
+        record.offset < known->second.offset)
+    {
+        return;
+    }
+    if (known != entries_.end())
+    {
+        known->second.offset = record.offset;
+    }
     if (!record.value)
     {
         if (known != entries_.end() && !known->second.missing_since)
@@ -79,7 +90,7 @@
     }
     if (known == entries_.end())
     {
-        add(*description);
+        add(*description).offset = record.offset;
         return;
     }
     auto& stored = known->second;
@@ -102,7 +113,9 @@
 {
     core::executor_id const id{++last_id_};
     auto& stored =
-        entries_.emplace(description.name, entry{id, description, std::nullopt})
+        entries_
+            .emplace(description.name,
+                     entry{id, description, std::nullopt, std::nullopt})
             .first->second;
     callbacks_.on_listed(id, stored.description);
     return stored;
--- a/tests/unit/restart_moved.cpp
+++ b/tests/unit/restart_moved.cpp
@@ -1,8 +1,12 @@
+#include "goldcrestgate/app/entry/executor_directory.hpp"
 #include "support/fleet_owner.hpp"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+#include <string>
+
 namespace
 {
 
@@ -29,16 +33,55 @@
         owner.start(1);
         owner.submit(1, 1, milliseconds{300});
         fleet.run_for(milliseconds{20});
+        app::executor_directory directory{
+            domain_id{1},
+            [](std::string_view)
+            {
+                return std::optional{domain_id{1}};
+            },
+            {[&owner](executor_id id, executor_description const& description)
+             {
+                 owner.list(id, description);
+             },
+             [](executor_id)
+             {
+                 CPPUNIT_FAIL("an executor was removed");
+             },
+             [](std::string_view)
+             {
+                 CPPUNIT_FAIL("an entry was invalid");
+             }}};
+        adapter::topic_page page;
+        for (auto const id : fleet.ids())
+        {
+            // The directory numbers the executors as the fleet does.
+            page.records.push_back(make_record(fleet.description(id), 10));
+        }
+        directory.apply_snapshot(page, fleet.now());
         auto const id = owner.start_orders.back().executor;
         auto stale = fleet.description(id);
         --stale.incarnation;
         stale.address = "127.0.0.1:8999";
-        owner.list(id, stale);
+        page.records = {make_record(stale, 5)};
+        directory.apply_changes(page, fleet.now());
         owner.submit(2, 1, milliseconds{60});
         fleet.run_for(milliseconds{600});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(client_job_id{1}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
     }
+
+private:
+    static adapter::keyed_record
+    make_record(executor_description const& description, std::uint64_t offset)
+    {
+        return {description.name,
+                R"({"service":"desk","zone":"north","state":"ready",)"
+                R"("capacity":{"cpu":64000,"mem_mb":65536},"labels":["a"],)"
+                R"("address":")" +
+                    description.address + R"(","born":)" +
+                    std::to_string(description.incarnation) + "}",
+                offset};
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(restart_moved_test, "restart_moved");
