Keep an executor's known start time if an entry does not name one

Cause: an entry without "born", as another writer may leave it, set the executor's incarnation to 0; then neither answers nor ends were told apart from those of an earlier process, and new ends counted as known. Change: such an entry keeps the incarnation, and the first list of runs that names one sets an unknown one.

--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -104,8 +104,12 @@
     bool const is_new = executor.description.address.empty();
     bool const moved =
         !is_new && executor.description.address != description.address;
+    // An entry from another writer may not name the process.
+    auto const named_incarnation = description.incarnation != 0
+                                       ? description.incarnation
+                                       : executor.description.incarnation;
     bool const restarted =
-        !is_new && executor.description.incarnation != description.incarnation;
+        !is_new && executor.description.incarnation != named_incarnation;
     bool const relabelled =
         is_new || executor.description.labels != description.labels;
     if (moved)
@@ -115,11 +119,12 @@
     }
     else if (restarted)
     {
-        state_.restart_executor(executor, description.incarnation, context);
+        state_.restart_executor(executor, named_incarnation, context);
         executor.health = {};
     }
     executor.id = id;
     executor.description = description;
+    executor.description.incarnation = named_incarnation;
     executor.listed = true;
     if (relabelled)
     {
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -126,6 +126,10 @@
     {
         restart_executor(executor, answer.incarnation, context);
     }
+    else if (answer.incarnation != 0)
+    {
+        executor.description.incarnation = answer.incarnation;
+    }
     record_clock(executor, answer.clock, context.now);
     executor.unresponsive = false;
     executor.health.record_answer();
