Count the lease on a restarted executor from when the restart is known

Cause: a deadline on the clock of the earlier process bounds no lease of the new one, which grants the longest lease from the arrival of a start. The owner counted from when it sent the start, so a run could outlive its count by the network delay less the margin. Change: at a restart the owner counts the lease of the recorded runs anew. The simulated executor renews a lease when a poll arrives, not again when it answers; within one process the second renewal had no effect. Remaining: a start that arrives after the news, or no news at all.

--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -341,6 +341,12 @@
     executor.acknowledged = 0;
     executor.unresponsive = false;
     executor.last_uncertain_order = order_id{last_order};
+    // The new process may have carried out a start just now. It counts the
+    // lease from then on, as the deadline of the order was on another clock.
+    if (!executor.runs.empty())
+    {
+        executor.lease_expires_at = context.now + lease_expiry_time();
+    }
     repeat_stops(executor, context);
 }
 
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -321,13 +321,19 @@
     return drop_every_nth_order > 0 && orders_sent % drop_every_nth_order == 0;
 }
 
-void executor_fleet::forget_ends(simulated_executor& target,
-                                 poll_executor const& order)
+void executor_fleet::receive_poll(simulated_executor& target,
+                                  poll_executor const& order)
 {
     if (target.behaviour.replaced || order.token.value() < target.token)
     {
         return;
     }
+    if (order.lease_until)
+    {
+        target.lease_until = std::max(
+            target.lease_until, std::min(to_time(target, *order.lease_until),
+                                         now_ + longest_lease));
+    }
     std::erase_if(target.finished,
                   [this, &order](finished_run const& run)
                   {
@@ -360,12 +366,6 @@
     }
     target.token = order.token.value();
     answer.outcome = order_outcome::accepted;
-    if (order.lease_until)
-    {
-        target.lease_until = std::max(
-            target.lease_until, std::min(to_time(target, *order.lease_until),
-                                         now_ + longest_lease));
-    }
     for (auto const& run : target.runs)
     {
         double const percent =
@@ -421,7 +421,7 @@
     schedule(one_way_latency,
              [this, order, reply, &target]
              {
-                 forget_ends(target, order);
+                 receive_poll(target, order);
                  auto const found = handle_poll(target, order);
                  if (order.wait <= duration{} || !found.finished.empty() ||
                      found.outcome != order_outcome::accepted)
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -137,9 +137,9 @@
                                             core::start_run const& order);
     [[nodiscard]] core::duration run_time(simulated_executor const& target,
                                           core::leased_task const& task) const;
-    /// Forgets the ends that a poll acknowledges, when the poll arrives.
-    void forget_ends(simulated_executor& target,
-                     core::poll_executor const& order);
+    /// Renews the lease and forgets the acknowledged ends, when a poll arrives.
+    void receive_poll(simulated_executor& target,
+                      core::poll_executor const& order);
     [[nodiscard]] core::poll_answer
     handle_poll(simulated_executor& target, core::poll_executor const& order);
     [[nodiscard]] bool drops_order();
