Log the source of the news when an executor is lost or restarts

Change: executor_lost has the source (store_entry, poll_answer, refused_order), the earlier and the present incarnation and the number of runs kept. Measured: the new case of unit.restarted_executors passes; all unit tests pass.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -141,6 +141,15 @@
     }
 };
 
+/// @brief News about the process of an executor.
+struct executor_news
+{
+    /// Origin of the news; see @ref executor_change.
+    std::string_view source{};
+    /// The present process; 0 if the news does not name it.
+    std::uint64_t incarnation = 0;
+};
+
 /// State of a task.
 enum class task_phase : std::uint8_t
 {
@@ -358,9 +367,9 @@
     /// Handles a refusal by an executor that has seen a higher token.
     void fence_executor(executor_record& executor, scheduler_context& context);
     void lose_executor(executor_record& executor, std::string_view reason,
-                       scheduler_context& context);
+                       executor_news const& news, scheduler_context& context);
     /// Handles a new process of an executor at the same address.
-    void restart_executor(executor_record& executor, std::uint64_t incarnation,
+    void restart_executor(executor_record& executor, executor_news const& news,
                           scheduler_context& context);
     /// Stops on the present process the runs that an earlier process has
     /// stopped, as their starts may still arrive.
--- a/include/goldcrestgate/core/leasing/scheduler_actions.hpp
+++ b/include/goldcrestgate/core/leasing/scheduler_actions.hpp
@@ -18,6 +18,19 @@
     job_verdict verdict;
 };
 
+/// @brief What an instance has learned about the process of an executor.
+struct executor_change
+{
+    /// Origin of the news, as a stable snake_case word: store_entry,
+    /// poll_answer or refused_order.
+    std::string_view source{};
+    std::uint64_t earlier_incarnation = 0;
+    /// 0 if the news does not name the present process.
+    std::uint64_t incarnation = 0;
+    /// Number of runs that stay recorded.
+    std::uint64_t runs_kept = 0;
+};
+
 /// @brief Scheduler event for the log.
 struct scheduler_log_event
 {
@@ -37,6 +50,8 @@
     std::uint64_t count = 0;
     /// Number of waiting tasks.
     std::uint64_t waiting = 0;
+    /// Set if the event is the loss or the restart of an executor.
+    std::optional<executor_change> change{};
 };
 
 /// Action that a scheduler requests.
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -60,6 +60,15 @@
     {
         line.text("reason", log_event.reason);
     }
+    if (auto const& change = log_event.change)
+    {
+        line.text("source", change->source)
+            .number("earlier_incarnation",
+                    static_cast<std::int64_t>(change->earlier_incarnation))
+            .number("incarnation",
+                    static_cast<std::int64_t>(change->incarnation))
+            .number("runs_kept", static_cast<std::int64_t>(change->runs_kept));
+    }
     return line.number("slack_ms", to_ms(log_event.slack))
         .number("run_ms", to_ms(log_event.run_time))
         .number("count", static_cast<std::int64_t>(log_event.count))
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -114,12 +114,14 @@
         is_new || executor.description.labels != description.labels;
     if (moved)
     {
-        state_.lose_executor(executor, "moved", context);
+        state_.lose_executor(executor, "moved",
+                             {"store_entry", named_incarnation}, context);
         executor.health = {};
     }
     else if (restarted)
     {
-        state_.restart_executor(executor, named_incarnation, context);
+        state_.restart_executor(executor, {"store_entry", named_incarnation},
+                                context);
         executor.health = {};
     }
     executor.id = id;
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -124,7 +124,8 @@
         answer.incarnation != executor.description.incarnation;
     if (restarted)
     {
-        restart_executor(executor, answer.incarnation, context);
+        restart_executor(executor, {"poll_answer", answer.incarnation},
+                         context);
     }
     else if (answer.incarnation != 0)
     {
@@ -157,7 +158,7 @@
     {
         if (executor.claimed)
         {
-            lose_executor(executor, "restarted", context);
+            lose_executor(executor, "restarted", {"refused_order"}, context);
         }
         executor.next_poll_at = context.now + other_incarnation_retry_delay;
         return;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -196,7 +196,7 @@
     }
     if (outcome == order_outcome::other_incarnation)
     {
-        lose_executor(executor, "restarted", context);
+        lose_executor(executor, "restarted", {"refused_order"}, context);
         return true;
     }
     return false;
@@ -318,22 +318,24 @@
 {
     executor.fenced = true;
     fenced = true;
-    lose_executor(executor, "fenced", context);
+    lose_executor(executor, "fenced", {"refused_order"}, context);
 }
 
 // The new process may have accepted starts before this instance learned of the
 // restart. The recorded runs therefore stay until the executor has listed what
 // runs; a task that runs there must not start elsewhere.
 void scheduler_state::restart_executor(executor_record& executor,
-                                       std::uint64_t incarnation,
+                                       executor_news const& news,
                                        scheduler_context& context)
 {
     scheduler_log_event log_event{.event = "executor_lost",
                                   .executor = executor.id};
     log_event.reason = "restarted";
     log_event.count = executor.runs.size();
+    log_event.change = {news.source, executor.description.incarnation,
+                        news.incarnation, executor.runs.size()};
     context.out.emplace_back(log_event);
-    executor.description.incarnation = incarnation;
+    executor.description.incarnation = news.incarnation;
     executor.claimed = false;
     executor.poll.reset();
     executor.next_poll_at = context.now;
@@ -384,12 +386,16 @@
 // claimed again or ownership is released.
 void scheduler_state::lose_executor(executor_record& executor,
                                     std::string_view reason,
+                                    executor_news const& news,
                                     scheduler_context& context)
 {
     scheduler_log_event log_event{.event = "executor_lost",
                                   .executor = executor.id};
     log_event.reason = reason;
     log_event.count = executor.runs.size();
+    log_event.change = {news.source, executor.description.incarnation,
+                        news.incarnation,
+                        executor.fenced ? executor.runs.size() : 0};
     context.out.emplace_back(log_event);
     executor.claimed = false;
     executor.poll.reset();
--- a/tests/unit/restarted_executors.cpp
+++ b/tests/unit/restarted_executors.cpp
@@ -3,8 +3,12 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <random>
+#include <span>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace
 {
@@ -20,6 +24,7 @@
     CPPUNIT_TEST_SUITE(restarted_executors_test);
     CPPUNIT_TEST(restarts_within_a_second_cause_no_duplicate_run);
     CPPUNIT_TEST(late_poll_answer_of_the_earlier_process_ends_no_run);
+    CPPUNIT_TEST(loss_of_an_executor_names_the_source_of_the_news);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,7 +69,51 @@
         }
     }
 
+    // Guards against log lines from which the cause of a restarted run cannot
+    // be told.
+    void loss_of_an_executor_names_the_source_of_the_news()
+    {
+        executor_fleet fleet{1};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        owner.submit(1, 2, milliseconds{300});
+        fleet.run_for(milliseconds{20});
+        executor_id const id{1};
+        fleet.restart(id);
+        std::vector<scheduler_action> out;
+        owner.scheduler.list(id, fleet.description(id), fleet.now(), out);
+        auto const restart = change_in(out);
+        CPPUNIT_ASSERT(restart.source == "store_entry");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, restart.earlier_incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, restart.incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, restart.runs_kept);
+        out.clear();
+        owner.scheduler.start_answered(
+            {order_id{1000}, id, owner.start_orders.front().run,
+             order_outcome::other_incarnation, std::nullopt},
+            fleet.now(), out);
+        auto const loss = change_in(out);
+        CPPUNIT_ASSERT(loss.source == "refused_order");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, loss.earlier_incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, loss.runs_kept);
+    }
+
 private:
+    static executor_change change_in(std::span<scheduler_action const> actions)
+    {
+        for (auto const& action : actions)
+        {
+            auto const* const log_event =
+                std::get_if<scheduler_log_event>(&action);
+            if (log_event != nullptr && log_event->change)
+            {
+                return *log_event->change;
+            }
+        }
+        CPPUNIT_FAIL("no executor was lost");
+        return {};
+    }
+
     static void run_seed(std::uint64_t seed)
     {
         std::mt19937_64 random{seed};
