Add a failing test of an executor that is listed again during a run

Cause: the directory numbers an executor anew when its entry returns. The scheduler then polls one process under two ids; the second record stops the run of the first as unknown, and either may acknowledge ends that the other has not seen.

--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -36,6 +36,17 @@
     }
 }
 
+void executor_fleet::add_alias(executor_id alias, executor_id id)
+{
+    aliases_[alias] = id;
+}
+
+executor_fleet::simulated_executor& executor_fleet::target_of(executor_id id)
+{
+    auto const alias = aliases_.find(id);
+    return executors_.at(alias == aliases_.end() ? id : alias->second);
+}
+
 executor_behaviour& executor_fleet::behaviour(executor_id id)
 {
     return executors_.at(id).behaviour;
@@ -235,7 +246,7 @@
 
 void executor_fleet::order(start_run const& order, order_callback const& answer)
 {
-    auto& target = executors_.at(order.executor);
+    auto& target = target_of(order.executor);
     auto const answer_with_timeout = [this, order, answer]
     {
         schedule(order.timeout,
@@ -278,7 +289,7 @@
 
 void executor_fleet::order(stop_run const& order, order_callback const& answer)
 {
-    auto& target = executors_.at(order.executor);
+    auto& target = target_of(order.executor);
     if (drops_order() || target.behaviour.unreachable)
     {
         schedule(order.timeout,
@@ -387,7 +398,7 @@
 void executor_fleet::order(poll_executor const& order,
                            poll_callback const& answer)
 {
-    auto& target = executors_.at(order.executor);
+    auto& target = target_of(order.executor);
     auto const done = std::make_shared<bool>(false);
     schedule(order.timeout,
              [order, answer, done]
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -71,6 +71,9 @@
     void describe(core::executor_id id, std::string service,
                   std::vector<std::string> labels);
 
+    /// @brief Gives an executor another id, under which it receives orders too.
+    void add_alias(core::executor_id alias, core::executor_id id);
+
     /// @brief Restarts an executor's process under its id and at its address:
     /// its runs, its memory and its clock are lost. Orders on their way reach
     /// the new process; polls that wait get no answer.
@@ -133,6 +136,7 @@
         std::vector<std::function<void()>> waiting_polls;
     };
 
+    [[nodiscard]] simulated_executor& target_of(core::executor_id id);
     [[nodiscard]] core::order_outcome start(simulated_executor& target,
                                             core::start_run const& order);
     [[nodiscard]] core::duration run_time(simulated_executor const& target,
@@ -161,6 +165,7 @@
     std::map<core::client_job_id, std::string> data_racks_;
     std::map<core::client_job_id, std::size_t> starts_;
     std::set<core::leased_task> acknowledged_as_done_;
+    std::map<core::executor_id, core::executor_id> aliases_;
 };
 
 } // namespace goldcrestgate::tests
