Keep the id of an executor whose entry returns

Cause: an executor whose entry had been missing got another id when it returned, while the scheduler still knew its runs under the earlier one. Two records then polled one process; the newer one stopped the run as unknown. Change: the directory keeps the ids of removed executors for 60 s. Measured: unit.relisted_executor failed (2 starts instead of 1) and passes now; all unit tests pass.

--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -90,15 +90,25 @@
         std::optional<std::uint64_t> offset;
     };
 
+    struct removed_id
+    {
+        core::executor_id id;
+        core::time_point removed_at;
+    };
+
     void apply_record(adapter::keyed_record const& record,
                       core::time_point now);
     entry& add(core::executor_description const& description);
+    void remove(std::string const& name, core::executor_id id,
+                core::time_point now);
     void update(entry& known, core::executor_description const& description);
 
     core::domain_id own_domain_;
     adapter::domain_lookup domains_;
     directory_callbacks callbacks_;
     std::unordered_map<std::string, entry> entries_;
+    /// Ids by name of executors that were removed lately.
+    std::unordered_map<std::string, removed_id> removed_ids_;
     std::uint32_t last_id_ = 0;
     /// Start of the period without failed reads; empty before the first read
     /// and while the store is unreachable.
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -15,6 +15,10 @@
 constexpr core::duration missing_entry_timeout =
     std::chrono::milliseconds{2600};
 
+/// An executor that returns within this time keeps its id, as the scheduler may
+/// still know its runs.
+constexpr core::duration id_retention = std::chrono::seconds{60};
+
 } // namespace
 
 executor_directory::executor_directory(core::domain_id own_domain,
@@ -111,7 +115,9 @@
 executor_directory::entry&
 executor_directory::add(core::executor_description const& description)
 {
-    core::executor_id const id{++last_id_};
+    auto const removed = removed_ids_.extract(description.name);
+    auto const id =
+        removed ? removed.mapped().id : core::executor_id{++last_id_};
     auto& stored =
         entries_
             .emplace(description.name,
@@ -121,6 +127,13 @@
     return stored;
 }
 
+void executor_directory::remove(std::string const& name, core::executor_id id,
+                                core::time_point now)
+{
+    removed_ids_.insert_or_assign(name, removed_id{id, now});
+    callbacks_.on_unlisted(id);
+}
+
 void executor_directory::merge(
     std::vector<core::executor_description> const& executors,
     core::time_point now)
@@ -145,12 +158,12 @@
         present.insert(description.name);
     }
     std::erase_if(entries_,
-                  [this, &present](auto const& item)
+                  [this, &present, now](auto const& item)
                   {
                       bool const gone = !present.contains(item.first);
                       if (gone)
                       {
-                          callbacks_.on_unlisted(item.second.id);
+                          remove(item.first, item.second.id, now);
                       }
                       return gone;
                   });
@@ -187,6 +200,11 @@
 
 void executor_directory::expire(core::time_point now)
 {
+    std::erase_if(removed_ids_,
+                  [now](auto const& item)
+                  {
+                      return now - item.second.removed_at > id_retention;
+                  });
     if (!store_readable_since_)
     {
         return;
@@ -201,7 +219,7 @@
                               missing_entry_timeout;
                       if (expired)
                       {
-                          callbacks_.on_unlisted(item.second.id);
+                          remove(item.first, item.second.id, now);
                       }
                       return expired;
                   });
