--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -85,6 +85,14 @@
     std::optional<time_point> orphan_deadline;
 };
 
+/// @brief A start that got no answer and may arrive late.
+struct unanswered_start
+{
+    task_run run;
+    /// Time until which the start may arrive.
+    time_point until{};
+};
+
 /// @brief State of one executor as known to its owner.
 struct executor_record
 {
@@ -106,6 +114,13 @@
     /// expired, unless an order renews the lease.
     time_point lease_expires_at{};
     std::uint64_t acknowledged = 0;
+    /// Last order that was sent before this instance knew of the executor's
+    /// present process. An earlier process may have answered it and the orders
+    /// before it.
+    order_id last_uncertain_order;
+    /// Runs that were stopped after their start got no answer, until the start
+    /// can no longer arrive.
+    std::vector<unanswered_start> unanswered_starts;
     std::optional<order_id> poll;
     time_point poll_sent_at{};
     time_point next_poll_at{};
@@ -126,6 +141,15 @@
     }
 };
 
+/// @brief News about the process of an executor.
+struct executor_news
+{
+    /// Origin of the news; see @ref executor_change.
+    std::string_view source{};
+    /// The present process; 0 if the news does not name it.
+    std::uint64_t incarnation = 0;
+};
+
 /// State of a task.
 enum class task_phase : std::uint8_t
 {
@@ -343,11 +367,17 @@
     /// Handles a refusal by an executor that has seen a higher token.
     void fence_executor(executor_record& executor, scheduler_context& context);
     void lose_executor(executor_record& executor, std::string_view reason,
-                       scheduler_context& context);
+                       executor_news const& news, scheduler_context& context);
     /// Handles a new process of an executor at the same address.
-    static void restart_executor(executor_record& executor,
-                                 std::uint64_t incarnation,
-                                 scheduler_context& context);
+    void restart_executor(executor_record& executor, executor_news const& news,
+                          scheduler_context& context);
+    /// Stops on the present process the runs that an earlier process has
+    /// stopped, as their starts may still arrive.
+    void repeat_stops(executor_record& executor, scheduler_context& context);
+    /// Whether an order was sent to the executor's present process.
+    [[nodiscard]] static bool
+    was_sent_to_present_process(executor_record const& executor,
+                                order_id order);
     void remove_run(executor_record& executor, task_run const& run);
     [[nodiscard]] run_record* find_run(executor_record& executor,
                                        task_run const& run) const;
@@ -356,7 +386,13 @@
     [[nodiscard]] order_id next_order();
 
     // leases
-    void send_poll(executor_record& executor, scheduler_context& context);
+    /// Sends a poll.
+    /// @param acknowledged last finished run that the executor may drop. Only a
+    /// poll that follows an answer at once acknowledges any: a process that has
+    /// started since the answer numbers its own runs from 1 and would drop them
+    /// unseen.
+    void send_poll(executor_record& executor, scheduler_context& context,
+                   std::uint64_t acknowledged = 0);
     void poll_answered(poll_answer const& answer, scheduler_context& context);
     void poll_failed(executor_record& executor, order_outcome outcome,
                      time_point sent_at, scheduler_context& context);
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -72,6 +72,7 @@
         executor.claimed = false;
         executor.poll.reset();
         executor.runs.clear();
+        executor.unanswered_starts.clear();
         executor.used = {};
         executor.lease_expires_at = now + state_.lease_expiry_time();
     }
@@ -103,23 +104,29 @@
     bool const is_new = executor.description.address.empty();
     bool const moved =
         !is_new && executor.description.address != description.address;
+    // An entry from another writer may not name the process.
+    auto const named_incarnation = description.incarnation != 0
+                                       ? description.incarnation
+                                       : executor.description.incarnation;
     bool const restarted =
-        !is_new && executor.description.incarnation != description.incarnation;
+        !is_new && executor.description.incarnation != named_incarnation;
     bool const relabelled =
         is_new || executor.description.labels != description.labels;
     if (moved)
     {
-        state_.lose_executor(executor, "moved", context);
+        state_.lose_executor(executor, "moved",
+                             {"store_entry", named_incarnation}, context);
         executor.health = {};
     }
     else if (restarted)
     {
-        detail::scheduler_state::restart_executor(
-            executor, description.incarnation, context);
+        state_.restart_executor(executor, {"store_entry", named_incarnation},
+                                context);
         executor.health = {};
     }
     executor.id = id;
     executor.description = description;
+    executor.description.incarnation = named_incarnation;
     executor.listed = true;
     if (relabelled)
     {
@@ -129,6 +136,7 @@
     }
     if (is_new)
     {
+        executor.last_uncertain_order = order_id{state_.last_order};
         executor.lease_expires_at = now + state_.lease_expiry_time();
         executor.usable_at = state_.owner ? now + roster_delay : now;
     }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -60,13 +60,14 @@
 }
 
 void scheduler_state::send_poll(executor_record& executor,
-                                scheduler_context& context)
+                                scheduler_context& context,
+                                std::uint64_t acknowledged)
 {
     poll_executor order;
     order.order = next_order();
     order.executor = executor.id;
     order.token = token;
-    order.acknowledged = executor.claimed ? executor.acknowledged : 0;
+    order.acknowledged = acknowledged;
     bool const renews = executor.claimed && !executor.unresponsive;
     if (renews)
     {
@@ -91,6 +92,10 @@
         return;
     }
     auto& executor = found->second;
+    if (!was_sent_to_present_process(executor, answer.order))
+    {
+        return;
+    }
     bool const is_latest = executor.poll == answer.order;
     auto const sent_at = executor.poll_sent_at;
     if (is_latest)
@@ -119,7 +124,12 @@
         answer.incarnation != executor.description.incarnation;
     if (restarted)
     {
-        restart_executor(executor, answer.incarnation, context);
+        restart_executor(executor, {"poll_answer", answer.incarnation},
+                         context);
+    }
+    else if (answer.incarnation != 0)
+    {
+        executor.description.incarnation = answer.incarnation;
     }
     record_clock(executor, answer.clock, context.now);
     executor.unresponsive = false;
@@ -135,7 +145,7 @@
         executor.capacity_unconfirmed = false;
         if (!executor.runs.empty())
         {
-            send_poll(executor, context);
+            send_poll(executor, context, executor.acknowledged);
         }
     }
 }
@@ -148,7 +158,7 @@
     {
         if (executor.claimed)
         {
-            lose_executor(executor, "restarted", context);
+            lose_executor(executor, "restarted", {"refused_order"}, context);
         }
         executor.next_poll_at = context.now + other_incarnation_retry_delay;
         return;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -48,10 +48,22 @@
 /// Delay between attempts to stop a run.
 constexpr duration stop_retry_delay = std::chrono::milliseconds{60};
 
+/// Time for which an order without an answer may still arrive.
+constexpr duration late_order_time = std::chrono::seconds{5};
+
 /// Increment of a task's execution number after a refusal as stale, because the
 /// number that an earlier owner used is unknown.
 constexpr std::uint32_t stale_execution_step = 8;
 
+void forget_old_starts(executor_record& executor, time_point now)
+{
+    std::erase_if(executor.unanswered_starts,
+                  [now](unanswered_start const& start)
+                  {
+                      return start.until <= now;
+                  });
+}
+
 } // namespace
 
 order_id scheduler_state::next_order()
@@ -161,7 +173,10 @@
         return std::nullopt;
     }
     auto& executor = found->second;
-    record_clock(executor, answer.clock, now);
+    if (was_sent_to_present_process(executor, answer.order))
+    {
+        record_clock(executor, answer.clock, now);
+    }
     auto* const run = find_run(executor, answer.run);
     if (run == nullptr)
     {
@@ -181,7 +196,7 @@
     }
     if (outcome == order_outcome::other_incarnation)
     {
-        lose_executor(executor, "restarted", context);
+        lose_executor(executor, "restarted", {"refused_order"}, context);
         return true;
     }
     return false;
@@ -225,6 +240,9 @@
         {
             executor.health.record_timeout(context.now);
         }
+        forget_old_starts(executor, context.now);
+        executor.unanswered_starts.push_back(
+            {run.run, context.now + late_order_time});
         request_stop(executor, run, context);
         return;
     case order_outcome::not_sent:
@@ -281,6 +299,11 @@
     {
     case order_outcome::accepted:
     case order_outcome::stale_execution:
+        if (!was_sent_to_present_process(executor, answer.order))
+        {
+            run.stop_due = context.now;
+            return;
+        }
         run.phase = run_phase::stop_accepted;
         run.stop_due = context.now + limits.stop_time;
         return;
@@ -295,28 +318,67 @@
 {
     executor.fenced = true;
     fenced = true;
-    lose_executor(executor, "fenced", context);
+    lose_executor(executor, "fenced", {"refused_order"}, context);
 }
 
 // The new process may have accepted starts before this instance learned of the
 // restart. The recorded runs therefore stay until the executor has listed what
 // runs; a task that runs there must not start elsewhere.
 void scheduler_state::restart_executor(executor_record& executor,
-                                       std::uint64_t incarnation,
+                                       executor_news const& news,
                                        scheduler_context& context)
 {
     scheduler_log_event log_event{.event = "executor_lost",
                                   .executor = executor.id};
     log_event.reason = "restarted";
     log_event.count = executor.runs.size();
+    log_event.change = {news.source, executor.description.incarnation,
+                        news.incarnation, executor.runs.size()};
     context.out.emplace_back(log_event);
-    executor.description.incarnation = incarnation;
+    executor.description.incarnation = news.incarnation;
     executor.claimed = false;
     executor.poll.reset();
     executor.next_poll_at = context.now;
     executor.clock.reset();
     executor.acknowledged = 0;
     executor.unresponsive = false;
+    executor.last_uncertain_order = order_id{last_order};
+    // The new process may have carried out a start just now. It counts the
+    // lease from then on, as the deadline of the order was on another clock.
+    if (!executor.runs.empty())
+    {
+        executor.lease_expires_at = context.now + lease_expiry_time();
+    }
+    repeat_stops(executor, context);
+}
+
+void scheduler_state::repeat_stops(executor_record& executor,
+                                   scheduler_context& context)
+{
+    for (auto& run : executor.runs)
+    {
+        if (run.phase == run_phase::stop_accepted)
+        {
+            run.phase = run_phase::stopping;
+            request_stop(executor, run, context);
+        }
+    }
+    forget_old_starts(executor, context.now);
+    for (auto const& start : executor.unanswered_starts)
+    {
+        if (find_run(executor, start.run) == nullptr)
+        {
+            context.out.emplace_back(stop_run{next_order(), executor.id,
+                                              start.run, token,
+                                              order_answer_timeout});
+        }
+    }
+}
+
+bool scheduler_state::was_sent_to_present_process(
+    executor_record const& executor, order_id order)
+{
+    return order.value() > executor.last_uncertain_order.value();
 }
 
 // A lost executor has no runs. After a refusal as fenced, another
@@ -324,12 +386,16 @@
 // claimed again or ownership is released.
 void scheduler_state::lose_executor(executor_record& executor,
                                     std::string_view reason,
+                                    executor_news const& news,
                                     scheduler_context& context)
 {
     scheduler_log_event log_event{.event = "executor_lost",
                                   .executor = executor.id};
     log_event.reason = reason;
     log_event.count = executor.runs.size();
+    log_event.change = {news.source, executor.description.incarnation,
+                        news.incarnation,
+                        executor.fenced ? executor.runs.size() : 0};
     context.out.emplace_back(log_event);
     executor.claimed = false;
     executor.poll.reset();
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 
 namespace goldcrestgate::tests
@@ -35,6 +36,17 @@
     }
 }
 
+void executor_fleet::add_alias(executor_id alias, executor_id id)
+{
+    aliases_[alias] = id;
+}
+
+executor_fleet::simulated_executor& executor_fleet::target_of(executor_id id)
+{
+    auto const alias = aliases_.find(id);
+    return executors_.at(alias == aliases_.end() ? id : alias->second);
+}
+
 executor_behaviour& executor_fleet::behaviour(executor_id id)
 {
     return executors_.at(id).behaviour;
@@ -78,16 +90,31 @@
     description.labels = std::move(labels);
 }
 
-executor_clock executor_fleet::clock() const
+void executor_fleet::restart(executor_id id)
+{
+    auto& target = executors_.at(id);
+    ++target.description.incarnation;
+    target.started_at = now_;
+    target.token = 0;
+    target.last_finished_number = 0;
+    target.lease_until = {};
+    target.runs.clear();
+    target.finished.clear();
+    target.highest_ended.clear();
+    target.waiting_polls.clear();
+}
+
+executor_clock executor_fleet::clock(simulated_executor const& target) const
 {
     return executor_clock{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())
+        std::chrono::duration_cast<milliseconds>(now_ - target.started_at)
             .count())};
 }
 
-time_point executor_fleet::to_time(executor_clock clock)
+time_point executor_fleet::to_time(simulated_executor const& target,
+                                   executor_clock clock)
 {
-    return time_point{milliseconds{clock.value()}};
+    return target.started_at + milliseconds{clock.value()};
 }
 
 void executor_fleet::schedule(duration delay, std::function<void()> work)
@@ -181,7 +208,7 @@
         return order_outcome::fenced;
     }
     target.token = order.token.value();
-    if (to_time(order.lease_until) <= now_)
+    if (to_time(target, order.lease_until) <= now_)
     {
         return order_outcome::lease_expired;
     }
@@ -206,10 +233,11 @@
                                       return run.run.task == order.run.task;
                                   }));
     }
+    starts_after_end += acknowledged_as_done_.count(order.run.task);
     ++starts_[order.run.task.job];
-    target.lease_until =
-        std::max(target.lease_until,
-                 std::min(to_time(order.lease_until), now_ + longest_lease));
+    target.lease_until = std::max(
+        target.lease_until,
+        std::min(to_time(target, order.lease_until), now_ + longest_lease));
     auto const total = run_time(target, order.run.task);
     auto const ends = target.behaviour.hangs ? time_point::max() : now_ + total;
     target.runs.push_back({order.run, now_, ends, total});
@@ -218,7 +246,7 @@
 
 void executor_fleet::order(start_run const& order, order_callback const& answer)
 {
-    auto& target = executors_.at(order.executor);
+    auto& target = target_of(order.executor);
     auto const answer_with_timeout = [this, order, answer]
     {
         schedule(order.timeout,
@@ -249,7 +277,7 @@
                  auto const outcome = target.behaviour.replaced
                                           ? order_outcome::other_incarnation
                                           : start(target, order);
-                 auto const read = clock();
+                 auto const read = clock(target);
                  schedule(one_way_latency,
                           [order, answer, outcome, read]
                           {
@@ -261,7 +289,7 @@
 
 void executor_fleet::order(stop_run const& order, order_callback const& answer)
 {
-    auto& target = executors_.at(order.executor);
+    auto& target = target_of(order.executor);
     if (drops_order() || target.behaviour.unreachable)
     {
         schedule(order.timeout,
@@ -272,25 +300,30 @@
                  });
         return;
     }
-    schedule(
-        one_way_latency,
-        [this, order, answer, &target]
-        {
-            auto outcome = order_outcome::fenced;
-            if (order.token.value() >= target.token)
-            {
-                target.token = order.token.value();
-                outcome = order_outcome::accepted;
-                auto& highest = target.highest_ended[order.run.task];
-                highest = std::max(highest, order.run.execution);
-                schedule(stop_time,
-                         [this, order, &target]
-                         {
-                             end_run(target, order.run, run_end::stopped);
-                         });
-            }
-            answer({order.order, order.executor, order.run, outcome, clock()});
-        });
+    schedule(one_way_latency,
+             [this, order, answer, &target]
+             {
+                 auto outcome = order_outcome::fenced;
+                 if (order.token.value() >= target.token)
+                 {
+                     target.token = order.token.value();
+                     outcome = order_outcome::accepted;
+                     auto& highest = target.highest_ended[order.run.task];
+                     highest = std::max(highest, order.run.execution);
+                     auto const process = target.description.incarnation;
+                     schedule(stop_time,
+                              [this, order, process, &target]
+                              {
+                                  if (target.description.incarnation == process)
+                                  {
+                                      end_run(target, order.run,
+                                              run_end::stopped);
+                                  }
+                              });
+                 }
+                 answer({order.order, order.executor, order.run, outcome,
+                         clock(target)});
+             });
 }
 
 bool executor_fleet::drops_order()
@@ -299,6 +332,31 @@
     return drop_every_nth_order > 0 && orders_sent % drop_every_nth_order == 0;
 }
 
+void executor_fleet::receive_poll(simulated_executor& target,
+                                  poll_executor const& order)
+{
+    if (target.behaviour.replaced || order.token.value() < target.token)
+    {
+        return;
+    }
+    if (order.lease_until)
+    {
+        target.lease_until = std::max(
+            target.lease_until, std::min(to_time(target, *order.lease_until),
+                                         now_ + longest_lease));
+    }
+    std::erase_if(target.finished,
+                  [this, &order](finished_run const& run)
+                  {
+                      bool const forgotten = run.number <= order.acknowledged;
+                      if (forgotten && run.end == run_end::done)
+                      {
+                          acknowledged_as_done_.insert(run.run.task);
+                      }
+                      return forgotten;
+                  });
+}
+
 poll_answer executor_fleet::handle_poll(simulated_executor& target,
                                         poll_executor const& order)
 {
@@ -310,7 +368,7 @@
         answer.outcome = order_outcome::other_incarnation;
         return answer;
     }
-    answer.clock = clock();
+    answer.clock = clock(target);
     answer.incarnation = target.description.incarnation;
     if (order.token.value() < target.token)
     {
@@ -319,17 +377,6 @@
     }
     target.token = order.token.value();
     answer.outcome = order_outcome::accepted;
-    if (order.lease_until)
-    {
-        target.lease_until =
-            std::max(target.lease_until, std::min(to_time(*order.lease_until),
-                                                  now_ + longest_lease));
-    }
-    std::erase_if(target.finished,
-                  [&order](finished_run const& run)
-                  {
-                      return run.number <= order.acknowledged;
-                  });
     for (auto const& run : target.runs)
     {
         double const percent =
@@ -340,14 +387,18 @@
         answer.running.push_back(
             {run.run, static_cast<std::uint32_t>(std::min(percent, 99.0))});
     }
-    answer.finished = target.finished;
+    std::ranges::copy_if(target.finished, std::back_inserter(answer.finished),
+                         [&order](finished_run const& run)
+                         {
+                             return run.number > order.acknowledged;
+                         });
     return answer;
 }
 
 void executor_fleet::order(poll_executor const& order,
                            poll_callback const& answer)
 {
-    auto& target = executors_.at(order.executor);
+    auto& target = target_of(order.executor);
     auto const done = std::make_shared<bool>(false);
     schedule(order.timeout,
              [order, answer, done]
@@ -368,7 +419,7 @@
     auto const reply = [this, order, answer, done, &target]
     {
         auto const found = handle_poll(target, order);
-        schedule(one_way_latency,
+        schedule(one_way_latency + target.behaviour.poll_answer_delay,
                  [answer, done, found, &target]
                  {
                      if (!target.behaviour.unreachable &&
@@ -381,6 +432,7 @@
     schedule(one_way_latency,
              [this, order, reply, &target]
              {
+                 receive_poll(target, order);
                  auto const found = handle_poll(target, order);
                  if (order.wait <= duration{} || !found.finished.empty() ||
                      found.outcome != order_outcome::accepted)
@@ -389,7 +441,15 @@
                      return;
                  }
                  target.waiting_polls.emplace_back(reply);
-                 schedule(order.wait, reply);
+                 auto const process = target.description.incarnation;
+                 schedule(order.wait,
+                          [reply, process, &target]
+                          {
+                              if (target.description.incarnation == process)
+                              {
+                                  reply();
+                              }
+                          });
              });
 }
 
