Acknowledge ends with the first start on an idle executor again

Cause: since the first poll at an idle executor acknowledged nothing, was answered at once because of the last end, and a second poll followed. Change: the poll that accompanies the first start on an idle executor acknowledges ends. A new process there has ended no run yet.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -388,9 +388,9 @@
     // leases
     /// Sends a poll.
     /// @param acknowledged last finished run that the executor may drop. Only a
-    /// poll that follows an answer at once acknowledges any: a process that has
-    /// started since the answer numbers its own runs from 1 and would drop them
-    /// unseen.
+    /// poll that follows an answer at once, or the first start on an idle
+    /// executor, acknowledges any: a process that has started since the last
+    /// answer numbers its own runs from 1 and would drop them unseen.
     void send_poll(executor_record& executor, scheduler_context& context,
                    std::uint64_t acknowledged = 0);
     void poll_answered(poll_answer const& answer, scheduler_context& context);
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -139,6 +139,7 @@
         group_spec.estimate, rack_factor(executor.description, group_spec));
     run.expected_run_time = expected_run_time;
     run.sent_at = context.now;
+    bool const was_idle = executor.runs.empty();
     executor.used += run.amounts;
     executor.runs.push_back(run);
     executor.lease_expires_at = context.now + lease_expiry_time();
@@ -147,7 +148,7 @@
         lease_end(executor, context.now).value(), order_answer_timeout});
     if (!executor.poll)
     {
-        send_poll(executor, context);
+        send_poll(executor, context, was_idle ? executor.acknowledged : 0);
     }
 }
 
