Adopt a late run that is listed when the later run of its task is lost

Cause: a list that showed a recorded run as lost put its task back at once, even if the same list showed an earlier start of the task that came late; the task started elsewhere while the late run was asked to stop. Change: after the lost runs, unknown listed runs are adopted by their waiting tasks; those of other tasks are stopped as before.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -408,6 +408,10 @@
                              scheduler_context& context);
     void reconcile_runs(executor_record& executor, poll_answer const& answer,
                         time_point sent_at, scheduler_context& context);
+    /// Makes waiting tasks responsible for runs that the executor has listed
+    /// unexpectedly, and stops those of other tasks.
+    void adopt_or_stop_orphans(executor_record& executor,
+                               scheduler_context& context);
     void adopt_runs(job_record& job, scheduler_context& context);
     /// Makes the job responsible for a run that an earlier owner or an earlier
     /// submission of the job started.
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -300,7 +300,7 @@
 
 // A run that was confirmed before the poll was sent, and is listed neither as
 // running nor as finished, no longer exists. A listed run that is unknown here
-// started late or belongs to a job that has ended; it is stopped.
+// started late or belongs to a job that has ended.
 void scheduler_state::reconcile_runs(executor_record& executor,
                                      poll_answer const& answer,
                                      time_point sent_at,
@@ -340,10 +340,30 @@
     {
         if (find_run(executor, entry.run) == nullptr)
         {
-            request_stop(
-                executor,
-                add_listed_run(executor, entry.run, context.now, context.now),
-                context);
+            add_listed_run(executor, entry.run, context.now, context.now);
+        }
+    }
+    adopt_or_stop_orphans(executor, context);
+}
+
+// A task of which a late run is listed waits for the end of that run; it must
+// not start elsewhere meanwhile.
+void scheduler_state::adopt_or_stop_orphans(executor_record& executor,
+                                            scheduler_context& context)
+{
+    for (auto& run : executor.runs)
+    {
+        auto const job = jobs.find(run.run.task.job);
+        if (job != jobs.end())
+        {
+            adopt_run(job->second, executor, run, context);
+        }
+        bool const is_unknown = run.phase == run_phase::running &&
+                                run.orphan_deadline &&
+                                *run.orphan_deadline <= context.now;
+        if (is_unknown)
+        {
+            request_stop(executor, run, context);
         }
     }
 }
