--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -388,9 +388,9 @@
     // leases
     /// Sends a poll.
     /// @param acknowledged last finished run that the executor may drop. Only a
-    /// poll that follows an answer at once acknowledges any: a process that has
-    /// started since the answer numbers its own runs from 1 and would drop them
-    /// unseen.
+    /// poll that follows an answer at once, or the first start on an idle
+    /// executor, acknowledges any: a process that has started since the last
+    /// answer numbers its own runs from 1 and would drop them unseen.
     void send_poll(executor_record& executor, scheduler_context& context,
                    std::uint64_t acknowledged = 0);
     void poll_answered(poll_answer const& answer, scheduler_context& context);
@@ -408,6 +408,10 @@
                              scheduler_context& context);
     void reconcile_runs(executor_record& executor, poll_answer const& answer,
                         time_point sent_at, scheduler_context& context);
+    /// Makes waiting tasks responsible for runs that the executor has listed
+    /// unexpectedly, and stops those of other tasks.
+    void adopt_or_stop_orphans(executor_record& executor,
+                               scheduler_context& context);
     void adopt_runs(job_record& job, scheduler_context& context);
     /// Makes the job responsible for a run that an earlier owner or an earlier
     /// submission of the job started.
