Simulate executors that crash and capacities that change

The fleet now crashes the executor that starts a marked task, brings it back as a new process after 3 s and counts the crashes under each task. Capacities can change, and an executor can accept starts beyond its capacity.

--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -18,6 +18,12 @@
 constexpr duration longest_lease = milliseconds{1000};
 constexpr duration stop_time = milliseconds{30};
 
+/// Time from the start of a task that crashes its executor to the crash.
+constexpr duration crash_delay = milliseconds{5};
+
+/// CPU demand of each task of @ref make_leased_job.
+constexpr std::uint32_t run_millicores = 27'000;
+
 } // namespace
 
 executor_fleet::executor_fleet(std::size_t count)
@@ -191,11 +197,16 @@
     {
         return order_outcome::stale_execution;
     }
-    constexpr std::size_t max_runs = 2;
+    auto const max_runs =
+        target.description.capacity.cpu_millicores / run_millicores;
     if (target.runs.size() >= max_runs)
     {
-        ++capacity_refusals;
-        return order_outcome::no_room;
+        if (!target.behaviour.ignores_capacity)
+        {
+            ++capacity_refusals;
+            return order_outcome::no_room;
+        }
+        ++starts_over_capacity;
     }
     for (auto const& [id, other] : executors_)
     {
@@ -213,6 +224,17 @@
     auto const total = run_time(target, order.run.task);
     auto const ends = target.behaviour.hangs ? time_point::max() : now_ + total;
     target.runs.push_back({order.run, now_, ends, total});
+    auto& history = histories_[order.run.task];
+    constexpr std::size_t crash_limit = 3;
+    history.starts_after_third_crash += history.crashes >= crash_limit ? 1 : 0;
+    if (crashing_tasks_.contains(order.run.task))
+    {
+        schedule(crash_delay,
+                 [this, id = order.executor]
+                 {
+                     crash(id);
+                 });
+    }
     return order_outcome::accepted;
 }
 
@@ -244,8 +266,13 @@
         return;
     }
     schedule(one_way_latency,
-             [this, order, answer, &target]
+             [this, order, answer, answer_with_timeout, &target]
              {
+                 if (target.behaviour.unreachable)
+                 {
+                     answer_with_timeout();
+                     return;
+                 }
                  auto const outcome = target.behaviour.replaced
                                           ? order_outcome::other_incarnation
                                           : start(target, order);
@@ -365,8 +392,13 @@
     {
         return;
     }
-    auto const reply = [this, order, answer, done, &target]
+    auto const reply =
+        [this, order, answer, done, &target, restarts = target.restarts]
     {
+        if (target.restarts != restarts)
+        {
+            return;
+        }
         auto const found = handle_poll(target, order);
         schedule(one_way_latency,
                  [answer, done, found, &target]
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -24,6 +24,8 @@
     bool hangs = false;
     /// Orders to the executor and answers to polls are dropped.
     bool unreachable = false;
+    /// Starts are accepted beyond the capacity.
+    bool ignores_capacity = false;
     /// Another executor answers at its address.
     bool replaced = false;
     /// Start orders get no answer and take effect after this delay.
@@ -35,7 +37,8 @@
 ///
 /// Counts violations of the protocol's guarantees: concurrent runs of one task
 /// and starts beyond an executor's capacity. It also counts the starts of each
-/// job, for checks that a rejected job has none.
+/// job, for checks that a rejected job has none, and the executors that crashed
+/// under each task.
 class executor_fleet
 {
 public:
@@ -69,6 +72,18 @@
     void describe(core::executor_id id, std::string service,
                   std::vector<std::string> labels);
 
+    /// @brief Makes a task crash each executor that starts it. The executor is
+    /// unreachable from then on and comes back as a new process.
+    void set_crashing(core::leased_task const& task);
+
+    /// @brief Ends an executor's process; a new one starts after the restart
+    /// time.
+    void crash(core::executor_id id);
+
+    /// @brief Changes the capacity of an executor; its runs go on.
+    void set_capacity(core::executor_id id,
+                      core::resource_amounts const& capacity);
+
     void order(core::start_run const& order, order_callback const& answer);
     void order(core::stop_run const& order, order_callback const& answer);
     void order(core::poll_executor const& order, poll_callback const& answer);
@@ -89,6 +104,20 @@
     /// @brief Returns the number of starts of a job so far.
     [[nodiscard]] std::size_t starts(core::client_job_id job) const;
 
+    /// @brief Returns the number of executors that crashed while they had a run
+    /// of the task.
+    [[nodiscard]] std::size_t crashes(core::leased_task const& task) const;
+
+    /// @brief Returns the largest number of starts of one task after three
+    /// executors had crashed under it.
+    [[nodiscard]] std::size_t most_starts_after_third_crash() const;
+
+    /// Called when the new process of a crashed executor has started.
+    std::function<void(core::executor_id)> on_restarted;
+    /// Time from the crash of an executor to the start of its new process.
+    core::duration restart_time{std::chrono::seconds{3}};
+    /// Number of starts beyond the capacity of executors that do not guard it.
+    std::size_t starts_over_capacity = 0;
     /// Number of starts of a task that already had a run.
     std::size_t duplicate_runs = 0;
     /// Number of starts refused because the executor had no capacity.
@@ -113,6 +142,8 @@
     {
         core::executor_description description;
         executor_behaviour behaviour;
+        /// Number of processes before this one.
+        std::uint64_t restarts = 0;
         std::uint64_t token = 0;
         std::uint64_t last_finished_number = 0;
         core::time_point lease_until{};
@@ -122,6 +153,14 @@
         std::vector<std::function<void()>> waiting_polls;
     };
 
+    /// Crash history of a task.
+    struct task_history
+    {
+        std::size_t crashes = 0;
+        std::size_t starts_after_third_crash = 0;
+    };
+
+    void restart(core::executor_id id);
     [[nodiscard]] core::order_outcome start(simulated_executor& target,
                                             core::start_run const& order);
     [[nodiscard]] core::duration run_time(simulated_executor const& target,
@@ -144,6 +183,8 @@
     std::map<core::leased_task, core::duration> task_work_;
     std::map<core::client_job_id, std::string> data_racks_;
     std::map<core::client_job_id, std::size_t> starts_;
+    std::set<core::leased_task> crashing_tasks_;
+    std::map<core::leased_task, task_history> histories_;
 };
 
 } // namespace goldcrestgate::tests
