--- /dev/null
+++ b/tests/unit/crash_counts_at_successor.cpp
@@ -0,0 +1,105 @@
+#include "support/fleet_owner.hpp"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <vector>
+
+namespace
+{
+
+using namespace goldcrestgate;
+using namespace goldcrestgate::core;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tests::executor_fleet;
+using tests::fleet_owner;
+
+/// Owners of one fleet that follow each other; all executors are listed at
+/// each.
+class succession
+{
+public:
+    explicit succession(std::size_t executors)
+        : fleet(executors)
+    {
+        fleet.on_restarted = [this](executor_id id)
+        {
+            owners.back()->list(id);
+        };
+        job_.groups.clear();
+    }
+
+    void submit(leased_job const& job, duration work)
+    {
+        job_ = job;
+        replace_owner();
+        owners.back()->submit(job, work);
+    }
+
+    /// @brief Kills the owner; its successor takes over and is offered the job
+    /// again.
+    void replace_owner()
+    {
+        if (!owners.empty())
+        {
+            owners.back()->kill();
+            fleet.run_for(milliseconds{300});
+        }
+        owners.push_back(std::make_unique<fleet_owner>(fleet));
+        owners.back()->list_all();
+        owners.back()->take_over(owners.size(), true);
+        if (owners.size() > 1)
+        {
+            owners.back()->offer(job_, true);
+        }
+    }
+
+    executor_fleet fleet;
+    std::vector<std::unique_ptr<fleet_owner>> owners;
+
+private:
+    leased_job job_;
+};
+
+class crash_counts_at_successor_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(crash_counts_at_successor_test);
+    CPPUNIT_TEST(task_is_started_twice_at_most_after_three_crashes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a successor that starts counting the crashes under a task
+    // anew.
+    void task_is_started_twice_at_most_after_three_crashes()
+    {
+        for (int const lifetime_ms : {150, 600, 1500, 2500, 4000})
+        {
+            leased_task const task{client_job_id{1}, 0, 0};
+            succession test{12};
+            test.fleet.set_crashing(task);
+            auto job = tests::make_leased_job(1, 1, milliseconds{60});
+            job.objective = seconds{40};
+            job.time_limit = seconds{60};
+            test.submit(job, milliseconds{60});
+            for (int handover = 0; handover < 8; ++handover)
+            {
+                test.fleet.run_for(milliseconds{lifetime_ms});
+                test.replace_owner();
+            }
+            test.fleet.run_for(seconds{20});
+            auto const label =
+                "owners live " + std::to_string(lifetime_ms) + " ms";
+            CPPUNIT_ASSERT_MESSAGE(
+                label, test.fleet.most_starts_after_third_crash() <= 2);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(label, std::size_t{0},
+                                         test.fleet.duplicate_runs);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(crash_counts_at_successor_test,
+                                      "crash_counts_at_successor");
+
+} // namespace
