Give up a task under which executors crash

Cause: a run that ended with its executor's lease was put back into the queue like any other; nothing counted under which task executors crash.

Change: crash_ledger counts them. Silence until the end of the lease makes the executor's runs suspects; a new process of the executor confirms the crash, an answer of the same process refutes it. A suspect is started alone on an executor; one of at most an eighth of the executors is kept free for it. Two crashes, one of them of an executor that had only this run, or three crashes end the job as failed; until they are confirmed the task waits. An owner's heartbeats carry the counts of its open jobs and the recent ones, so that its successor goes on with them; the offers need no change. A successor also suspects the tasks that it finds on no executor if one is silent or younger than the job. Draining executors that end are no crash.

Ruled out: counting at the gateways that have the callers, as a message of a new type is malformed for instances of the earlier version; an optional field of the heartbeat is skipped by them.

Result: unit.crash_looping_task and unit.crash_counts_at_successor failed before and pass, with 23 tests of job_scheduler, the random faults and frame_codec.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestgate/core/leasing/admission.hpp"
+#include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/executor_health.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -83,6 +85,21 @@
     /// Set for a run whose job is not known here, such as that of an earlier
     /// owner until its job is offered again; the run is stopped at this time.
     std::optional<time_point> orphan_deadline;
+    /// Whether an executor may have crashed under the task; nothing is started
+    /// beside the run.
+    bool isolated = false;
+    /// Whether an earlier process of the executor may have had the run.
+    bool sent_before_restart = false;
+    /// Whether the earlier process had no other run.
+    bool alone_before_restart = false;
+};
+
+/// @brief A run that ended with the lease of a silent executor, which may have
+/// crashed.
+struct unconfirmed_crash
+{
+    task_run run;
+    bool alone = false;
 };
 
 /// @brief State of one executor as known to its owner.
@@ -115,6 +132,7 @@
     bool capacity_unconfirmed = false;
     resource_amounts used;
     std::vector<run_record> runs;
+    std::vector<unconfirmed_crash> unconfirmed_crashes;
     executor_health health;
 
     /// Capacity that no run uses.
@@ -229,6 +247,8 @@
     slowdown_range speeds;
     /// Those that have unused capacity.
     std::vector<executor_record const*> with_capacity;
+    /// Number of executors that are kept for suspect tasks.
+    std::size_t reserved = 0;
 };
 
 /// @brief State of a @ref job_scheduler, shared by its source files.
@@ -255,11 +275,25 @@
     std::unordered_map<client_job_id, job_record> jobs;
     std::unordered_map<client_job_id, retained_verdict> retained_verdicts;
     speed_model speeds;
+    crash_ledger crashes;
 
     // jobs
     void offer(instance_id origin, job_offer const& offered,
                scheduler_context& context);
     void place_waiting(scheduler_context& context);
+    /// Places suspect tasks on executors without runs. An executor that is to
+    /// run one next is removed from the pool.
+    void place_suspects(job_record& job, executor_pool& pool,
+                        scheduler_context& context);
+    void place_suspects(job_record& job, std::uint16_t group,
+                        executor_pool& pool, scheduler_context& context);
+    /// Removes the executor with the fewest runs that can run a task of the
+    /// group, so that it has none soon.
+    static void reserve_executor(job_record const& job, std::uint16_t group,
+                                 executor_pool& pool);
+    [[nodiscard]] static placement_request
+    make_placement_request(job_record const& job, std::uint16_t group,
+                           executor_pool const& pool, time_point now);
     void place_job(job_record& job, executor_pool const& pool,
                    scheduler_context& context);
     void place_group(job_record& job, std::uint16_t group,
@@ -345,9 +379,8 @@
     void lose_executor(executor_record& executor, std::string_view reason,
                        scheduler_context& context);
     /// Handles a new process of an executor at the same address.
-    static void restart_executor(executor_record& executor,
-                                 std::uint64_t incarnation,
-                                 scheduler_context& context);
+    void restart_executor(executor_record& executor, std::uint64_t incarnation,
+                          scheduler_context& context);
     void remove_run(executor_record& executor, task_run const& run);
     [[nodiscard]] run_record* find_run(executor_record& executor,
                                        task_run const& run) const;
@@ -355,6 +388,25 @@
     lease_end(executor_record& executor, time_point now) const;
     [[nodiscard]] order_id next_order();
 
+    // crashes
+    /// Counts a possible crash under the runs of a silent executor.
+    void suspect_crash(executor_record& executor,
+                       std::span<run_record const> runs,
+                       scheduler_context& context);
+    /// Confirms the possible crashes of an executor that has lost its runs.
+    void confirm_crashes(executor_record& executor, scheduler_context& context);
+    /// Takes back the possible crashes of an executor that was only silent.
+    void refute_crashes(executor_record& executor, scheduler_context& context);
+    /// Counts a certain crash.
+    void count_crash(executor_record const& executor, task_run const& run,
+                     bool alone, scheduler_context& context);
+    /// Ends the job of a task that crashes its executors.
+    void end_crash_looping_job(client_job_id id, scheduler_context& context);
+    /// Counts a possible crash under each waiting task of an inherited job if
+    /// an executor may have crashed without the knowledge of the earlier owner.
+    void suspect_unlisted_tasks(job_record const& job,
+                                scheduler_context& context);
+
     // leases
     void send_poll(executor_record& executor, scheduler_context& context);
     void poll_answered(poll_answer const& answer, scheduler_context& context);
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/evacuations.hpp"
 #include "goldcrestgate/core/leasing/executor.hpp"
 #include "goldcrestgate/core/leasing/leased_job.hpp"
@@ -89,6 +90,8 @@
     instance_id yields_to;
     /// Evacuations that the sender knows.
     evacuations evacuated;
+    /// Crashes that the sender, as an owner, has counted under tasks.
+    std::vector<task_crashes> crashes;
 };
 
 /// @brief Learned speed of one executor.
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace goldcrestgate::core
@@ -126,6 +127,14 @@
     /// @brief Returns the instances that have the callers of the jobs.
     [[nodiscard]] std::set<instance_id> origins() const;
 
+    /// @brief Returns the crashes to report to the possible successors and to
+    /// the owners of other failure domains; none if this instance is no owner.
+    [[nodiscard]] std::vector<task_crashes> crash_report(time_point now) const;
+
+    /// @brief Adopts crashes that another owner has counted.
+    void adopt_crashes(std::span<task_crashes const> counts, time_point now,
+                       std::vector<scheduler_action>& out);
+
     /// @brief Returns the executor's learned run time divided by estimated run
     /// time.
     [[nodiscard]] double slowdown(executor_id executor) const
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -96,6 +96,9 @@
 struct JobVerdict;
 struct JobVerdictBuilder;
 
+struct TaskCrashes;
+struct TaskCrashesBuilder;
+
 struct OwnerHeartbeat;
 struct OwnerHeartbeatBuilder;
 
@@ -2563,6 +2566,113 @@
   static auto constexpr Create = CreateJobVerdict;
 };
 
+struct TaskCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TaskCrashesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_GROUP = 6,
+    VT_INDEX = 8,
+    VT_SUSPECTED = 10,
+    VT_SUSPECTED_ALONE = 12,
+    VT_CONFIRMED = 14,
+    VT_CONFIRMED_ALONE = 16
+  };
+  uint64_t job() const {
+    return GetField<uint64_t>(VT_JOB, 0);
+  }
+  uint16_t group() const {
+    return GetField<uint16_t>(VT_GROUP, 0);
+  }
+  uint16_t index() const {
+    return GetField<uint16_t>(VT_INDEX, 0);
+  }
+  uint32_t suspected() const {
+    return GetField<uint32_t>(VT_SUSPECTED, 0);
+  }
+  uint32_t suspected_alone() const {
+    return GetField<uint32_t>(VT_SUSPECTED_ALONE, 0);
+  }
+  uint32_t confirmed() const {
+    return GetField<uint32_t>(VT_CONFIRMED, 0);
+  }
+  uint32_t confirmed_alone() const {
+    return GetField<uint32_t>(VT_CONFIRMED_ALONE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
+           VerifyField<uint16_t>(verifier, VT_GROUP, 2) &&
+           VerifyField<uint16_t>(verifier, VT_INDEX, 2) &&
+           VerifyField<uint32_t>(verifier, VT_SUSPECTED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SUSPECTED_ALONE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIRMED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIRMED_ALONE, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct TaskCrashesBuilder {
+  typedef TaskCrashes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(uint64_t job) {
+    fbb_.AddElement<uint64_t>(TaskCrashes::VT_JOB, job, 0);
+  }
+  void add_group(uint16_t group) {
+    fbb_.AddElement<uint16_t>(TaskCrashes::VT_GROUP, group, 0);
+  }
+  void add_index(uint16_t index) {
+    fbb_.AddElement<uint16_t>(TaskCrashes::VT_INDEX, index, 0);
+  }
+  void add_suspected(uint32_t suspected) {
+    fbb_.AddElement<uint32_t>(TaskCrashes::VT_SUSPECTED, suspected, 0);
+  }
+  void add_suspected_alone(uint32_t suspected_alone) {
+    fbb_.AddElement<uint32_t>(TaskCrashes::VT_SUSPECTED_ALONE, suspected_alone, 0);
+  }
+  void add_confirmed(uint32_t confirmed) {
+    fbb_.AddElement<uint32_t>(TaskCrashes::VT_CONFIRMED, confirmed, 0);
+  }
+  void add_confirmed_alone(uint32_t confirmed_alone) {
+    fbb_.AddElement<uint32_t>(TaskCrashes::VT_CONFIRMED_ALONE, confirmed_alone, 0);
+  }
+  explicit TaskCrashesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TaskCrashes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TaskCrashes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TaskCrashes> CreateTaskCrashes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t job = 0,
+    uint16_t group = 0,
+    uint16_t index = 0,
+    uint32_t suspected = 0,
+    uint32_t suspected_alone = 0,
+    uint32_t confirmed = 0,
+    uint32_t confirmed_alone = 0) {
+  TaskCrashesBuilder builder_(_fbb);
+  builder_.add_job(job);
+  builder_.add_confirmed_alone(confirmed_alone);
+  builder_.add_confirmed(confirmed);
+  builder_.add_suspected_alone(suspected_alone);
+  builder_.add_suspected(suspected);
+  builder_.add_index(index);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct TaskCrashes::Traits {
+  using type = TaskCrashes;
+  static auto constexpr Create = CreateTaskCrashes;
+};
+
 struct OwnerHeartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef OwnerHeartbeatBuilder Builder;
   struct Traits;
@@ -2580,7 +2690,8 @@
     VT_OWNER_KNOWN = 24,
     VT_YIELDS_TO = 26,
     VT_EVACUATION_VERSION = 28,
-    VT_EVACUATED = 30
+    VT_EVACUATED = 30,
+    VT_CRASHES = 32
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -2624,6 +2735,9 @@
   const flatbuffers::Vector<uint16_t> *evacuated() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_EVACUATED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -2642,6 +2756,9 @@
            VerifyField<uint64_t>(verifier, VT_EVACUATION_VERSION, 8) &&
            VerifyOffset(verifier, VT_EVACUATED) &&
            verifier.VerifyVector(evacuated()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
 };
@@ -2692,6 +2809,9 @@
   void add_evacuated(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> evacuated) {
     fbb_.AddOffset(OwnerHeartbeat::VT_EVACUATED, evacuated);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>> crashes) {
+    fbb_.AddOffset(OwnerHeartbeat::VT_CRASHES, crashes);
+  }
   explicit OwnerHeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2718,7 +2838,8 @@
     bool owner_known = false,
     uint32_t yields_to = 0,
     uint64_t evacuation_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> evacuated = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> evacuated = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>> crashes = 0) {
   OwnerHeartbeatBuilder builder_(_fbb);
   builder_.add_evacuation_version(evacuation_version);
   builder_.add_interval_us(interval_us);
@@ -2727,6 +2848,7 @@
   builder_.add_expected_wait_us(expected_wait_us);
   builder_.add_highest_term(highest_term);
   builder_.add_term(term);
+  builder_.add_crashes(crashes);
   builder_.add_evacuated(evacuated);
   builder_.add_yields_to(yields_to);
   builder_.add_successors(successors);
@@ -2757,9 +2879,11 @@
     bool owner_known = false,
     uint32_t yields_to = 0,
     uint64_t evacuation_version = 0,
-    const std::vector<uint16_t> *evacuated = nullptr) {
+    const std::vector<uint16_t> *evacuated = nullptr,
+    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *crashes = nullptr) {
   auto successors__ = successors ? _fbb.CreateVector<uint32_t>(*successors) : 0;
   auto evacuated__ = evacuated ? _fbb.CreateVector<uint16_t>(*evacuated) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>(*crashes) : 0;
   return goldcrestgate::wire::detail::CreateOwnerHeartbeat(
       _fbb,
       term,
@@ -2775,7 +2899,8 @@
       owner_known,
       yields_to,
       evacuation_version,
-      evacuated__);
+      evacuated__,
+      crashes__);
 }
 
 struct ExecutorDescription FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -18,7 +18,8 @@
     bool const is_warning =
         event == "start_refused" || event == "run_stalled" ||
         event == "executor_silent" || event == "executor_lost" ||
-        event == "ownership_given_up";
+        event == "ownership_given_up" || event == "crash_counted" ||
+        event == "task_given_up";
     return is_warning ? log_level::warning : log_level::info;
 }
 
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -55,6 +55,7 @@
         ownership_.heartbeat(load.free_millicores, load.expected_wait, now);
     heartbeat.configuration_version = routes_.version;
     heartbeat.evacuated = evacuations_;
+    heartbeat.crashes = scheduler_.crash_report(now);
     return heartbeat;
 }
 
@@ -328,6 +329,12 @@
                 ownership_.heartbeat_received(from, heartbeat, now);
                 answer_heartbeat(from, heartbeat);
                 adopt_evacuations(heartbeat.evacuated, "peer");
+                if (!heartbeat.crashes.empty())
+                {
+                    std::vector<core::scheduler_action> out;
+                    scheduler_.adopt_crashes(heartbeat.crashes, now, out);
+                    apply(out);
+                }
                 forward_configuration(from, heartbeat);
                 if (from.domain == self_.domain)
                 {
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -72,6 +72,7 @@
         executor.claimed = false;
         executor.poll.reset();
         executor.runs.clear();
+        executor.unconfirmed_crashes.clear();
         executor.used = {};
         executor.lease_expires_at = now + state_.lease_expiry_time();
     }
@@ -114,8 +115,7 @@
     }
     else if (restarted)
     {
-        detail::scheduler_state::restart_executor(
-            executor, description.incarnation, context);
+        state_.restart_executor(executor, description.incarnation, context);
         executor.health = {};
     }
     executor.id = id;
@@ -151,7 +151,9 @@
         executor.unlisted_at = now;
     }
     executor.listed = false;
-    if (!state_.owner || executor.runs.empty())
+    bool const in_use =
+        !executor.runs.empty() || !executor.unconfirmed_crashes.empty();
+    if (!state_.owner || !in_use)
     {
         state_.speeds.remove(id);
         state_.executors.erase(found);
@@ -263,6 +265,34 @@
     return now + (busy ? busy_tick_interval : idle_tick_interval);
 }
 
+std::vector<task_crashes> job_scheduler::crash_report(time_point now) const
+{
+    if (!state_.owner)
+    {
+        return {};
+    }
+    return state_.crashes.report(now,
+                                 [this](client_job_id job)
+                                 {
+                                     return state_.jobs.contains(job);
+                                 });
+}
+
+void job_scheduler::adopt_crashes(std::span<task_crashes const> counts,
+                                  time_point now,
+                                  std::vector<scheduler_action>& out)
+{
+    state_.crashes.adopt(counts, now);
+    scheduler_context context{now, out};
+    for (auto const& count : counts)
+    {
+        if (state_.crashes.is_crash_looping(count.task))
+        {
+            state_.end_crash_looping_job(count.task.job, context);
+        }
+    }
+}
+
 std::set<instance_id> job_scheduler::origins() const
 {
     std::set<instance_id> origins;
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -135,9 +135,18 @@
     }
     unblock_groups(job);
     adopt_runs(job, context);
+    if (job.inherited && !job.awaits_claims)
+    {
+        suspect_unlisted_tasks(job, context);
+    }
 
     auto const verdict = evaluate_admission(job, context.now);
     auto& stored = jobs.emplace(id, std::move(job)).first->second;
+    if (!crashes.crash_looping_tasks(id).empty())
+    {
+        end_crash_looping_job(id, context);
+        return;
+    }
     if (suspended && !stored.started())
     {
         end_job(id, job_outcome::rejected, rejection_retry_delay, "evacuated",
@@ -243,6 +252,7 @@
     if (end == run_end::done)
     {
         executor.health.record_success();
+        crashes.forget(run.run.task);
         speeds.observe(executor.id, run.estimate, spent);
     }
     auto const found = jobs.find(run.run.task.job);
@@ -333,6 +343,7 @@
         {
             job.awaits_claims = false;
             adopt_runs(job, context);
+            suspect_unlisted_tasks(job, context);
         }
         double const fastest = ranges[job.job.service].fastest;
         auto const finish =
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -121,6 +121,7 @@
     {
         restart_executor(executor, answer.incarnation, context);
     }
+    refute_crashes(executor, context);
     record_clock(executor, answer.clock, context.now);
     executor.unresponsive = false;
     executor.health.record_answer();
@@ -250,6 +251,7 @@
     --group.waiting;
     job.inherited = true;
     run.orphan_deadline.reset();
+    run.isolated = crashes.is_suspect(task);
     if (run.amounts == resource_amounts{})
     {
         run.amounts = group_spec.each_task;
@@ -309,6 +311,7 @@
         if (is_listed)
         {
             run.listed_at = context.now;
+            run.sent_before_restart = false;
         }
         if (is_listed && run.phase == run_phase::starting)
         {
@@ -325,6 +328,10 @@
     {
         remove_run(executor, run.run);
         task_ended(executor, run, run_end::lease_expired, context);
+        if (run.sent_before_restart)
+        {
+            count_crash(executor, run.run, run.alone_before_restart, context);
+        }
     }
     for (auto const& entry : answer.running)
     {
@@ -378,12 +385,22 @@
             request_stop(executor, run, context);
         }
     }
+    bool const may_have_crashed = lease_expired && executor.unresponsive &&
+                                  !executor.description.draining;
+    if (may_have_crashed)
+    {
+        suspect_crash(executor, ended, context);
+    }
     for (auto const& run : ended)
     {
         remove_run(executor, run.run);
         task_ended(executor, run,
                    lease_expired ? run_end::lease_expired : run_end::stopped,
                    context);
+        if (run.sent_before_restart && !may_have_crashed)
+        {
+            count_crash(executor, run.run, run.alone_before_restart, context);
+        }
     }
 }
 
@@ -413,9 +430,11 @@
     }
     for (auto const id : dropped)
     {
+        confirm_crashes(executors.at(id), context);
         speeds.remove(id);
         executors.erase(id);
     }
+    crashes.expire(context.now);
     move_or_abandon_late_runs(context);
     expire_jobs(context);
     place_waiting(context);
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -127,6 +127,7 @@
         group_spec.estimate, rack_factor(executor.description, group_spec));
     run.expected_run_time = expected_run_time;
     run.sent_at = context.now;
+    run.isolated = crashes.is_suspect(run.run.task);
     executor.used += run.amounts;
     executor.runs.push_back(run);
     executor.lease_expires_at = context.now + lease_expiry_time();
@@ -213,6 +214,14 @@
     log_event.reason = outcome_name(answer.outcome);
     log_event.run_time = context.now - run.sent_at;
     context.out.emplace_back(log_event);
+    if (answer.outcome == order_outcome::other_incarnation)
+    {
+        // The process that crashed never had this run.
+        auto const refused = run;
+        revoke_start(refused);
+        remove_run(executor, answer.run);
+        requeue_task(refused);
+    }
     if (handle_executor_loss(executor, answer.outcome, context))
     {
         return;
@@ -317,6 +326,16 @@
     executor.clock.reset();
     executor.acknowledged = 0;
     executor.unresponsive = false;
+    // An executor that has left after draining has not crashed.
+    if (!executor.description.draining)
+    {
+        for (auto& run : executor.runs)
+        {
+            run.sent_before_restart = true;
+            run.alone_before_restart = executor.runs.size() == 1;
+        }
+    }
+    confirm_crashes(executor, context);
 }
 
 // A lost executor has no runs. After a refusal as fenced, another
@@ -347,6 +366,15 @@
     {
         requeue_task(run);
     }
+    confirm_crashes(executor, context);
+    if (executor.description.draining)
+    {
+        return;
+    }
+    for (auto const& run : runs)
+    {
+        count_crash(executor, run.run, runs.size() == 1, context);
+    }
 }
 
 } // namespace detail
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -10,6 +10,10 @@
 namespace
 {
 
+/// At most one of this number of executors with capacity is kept free for
+/// suspect tasks, so that a wave of crashes does not stop the other tasks.
+constexpr std::size_t reserved_divisor = 8;
+
 bool has_waiting(job_record const& job)
 {
     return std::ranges::any_of(job.groups,
@@ -61,7 +65,9 @@
                             {
                                 return run.amounts == resource_amounts{};
                             });
-    return !suspended && executor.claimed && executor.clock &&
+    bool const has_suspect =
+        std::ranges::any_of(executor.runs, &run_record::isolated);
+    return !suspended && !has_suspect && executor.claimed && executor.clock &&
            executor.listed && now >= executor.usable_at &&
            !executor.unresponsive && !executor.capacity_unconfirmed &&
            !size_unknown && !executor.description.draining &&
@@ -110,7 +116,7 @@
     {
         return;
     }
-    auto const pools = executor_pools(context.now);
+    auto pools = executor_pools(context.now);
     std::vector<std::pair<serving_position, job_record*>> order;
     order.reserve(waiting.size());
     for (auto* const job : waiting)
@@ -124,6 +130,16 @@
         }
     }
     std::ranges::sort(order, {}, &decltype(order)::value_type::first);
+    // A task of a job that cannot be completed would only use capacity.
+    std::erase_if(order,
+                  [this](auto const& entry)
+                  {
+                      return crashes.withholds_task_of(entry.second->job.id);
+                  });
+    for (auto const& [position, job] : order)
+    {
+        place_suspects(*job, pools.at(job->job.service), context);
+    }
     for (auto const& [position, job] : order)
     {
         place_job(*job, pools.at(job->job.service), context);
@@ -191,6 +207,101 @@
     }
 }
 
+placement_request scheduler_state::make_placement_request(
+    job_record const& job, std::uint16_t group, executor_pool const& pool,
+    time_point now)
+{
+    auto const& group_spec = job.job.groups[group];
+    placement_request request;
+    request.demand = group_spec.each_task;
+    request.estimate = group_spec.estimate;
+    request.to_objective = job.due - now;
+    request.to_limit = job.deadline - now;
+    request.waited = now - (job.deadline - job.job.time_limit);
+    request.fastest_slowdown = pool.speeds.fastest;
+    return request;
+}
+
+void scheduler_state::place_suspects(job_record& job, executor_pool& pool,
+                                     scheduler_context& context)
+{
+    for (std::size_t group = 0; group < job.groups.size(); ++group)
+    {
+        if (job.groups[group].waiting > 0)
+        {
+            place_suspects(job, static_cast<std::uint16_t>(group), pool,
+                           context);
+        }
+    }
+}
+
+void scheduler_state::place_suspects(job_record& job, std::uint16_t group,
+                                     executor_pool& pool,
+                                     scheduler_context& context)
+{
+    auto const& tasks = job.groups[group].tasks;
+    auto request = make_placement_request(job, group, pool, context.now);
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+    {
+        auto const index = static_cast<std::uint16_t>(i);
+        leased_task const task{job.job.id, group, index};
+        if (tasks[index].phase != task_phase::waiting ||
+            !crashes.is_suspect(task))
+        {
+            continue;
+        }
+        auto candidates = find_candidates(job, group, pool, context.now);
+        std::erase_if(candidates,
+                      [this](placement_candidate const& candidate)
+                      {
+                          return !executors.at(candidate.executor).runs.empty();
+                      });
+        request.avoided =
+            executors.size() > 1 ? tasks[index].avoided : std::nullopt;
+        auto const choice = choose_executor(candidates, request);
+        if (!choice)
+        {
+            reserve_executor(job, group, pool);
+            continue;
+        }
+        log_placement(job, task, *choice, context);
+        start(job, group, index, executors.at(choice->executor),
+              choice->expected_run, context);
+    }
+}
+
+void scheduler_state::reserve_executor(job_record const& job,
+                                       std::uint16_t group, executor_pool& pool)
+{
+    auto& executors_left = pool.with_capacity;
+    auto const size = executors_left.size() + pool.reserved;
+    if (pool.reserved >= std::max<std::size_t>(1, size / reserved_divisor))
+    {
+        return;
+    }
+    auto const& group_spec = job.job.groups[group];
+    auto chosen = executors_left.end();
+    for (auto entry = executors_left.begin(); entry != executors_left.end();
+         ++entry)
+    {
+        auto const& description = (*entry)->description;
+        bool const suits =
+            group_spec.each_task.fits_into(description.capacity) &&
+            has_label(description, group_spec.required_label) &&
+            !(*entry)->runs.empty();
+        if (suits && (chosen == executors_left.end() ||
+                      (*entry)->runs.size() < (*chosen)->runs.size()))
+        {
+            chosen = entry;
+        }
+    }
+    if (chosen != executors_left.end())
+    {
+        executors_left.erase(chosen);
+        ++pool.reserved;
+    }
+}
+
 void scheduler_state::place_group(job_record& job, std::uint16_t group,
                                   executor_pool const& pool,
                                   scheduler_context& context)
@@ -202,17 +313,12 @@
     {
         return;
     }
-    placement_request request;
-    request.demand = group_spec.each_task;
-    request.estimate = group_spec.estimate;
-    request.to_objective = job.due - context.now;
-    request.to_limit = job.deadline - context.now;
-    request.waited = context.now - (job.deadline - job.job.time_limit);
-    request.fastest_slowdown = pool.speeds.fastest;
+    auto request = make_placement_request(job, group, pool, context.now);
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         auto const index = static_cast<std::uint16_t>(i);
-        if (tasks[index].phase != task_phase::waiting)
+        if (tasks[index].phase != task_phase::waiting ||
+            crashes.is_suspect({job.job.id, group, index}))
         {
             continue;
         }
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -315,7 +315,8 @@
 {
     auto const& [term, highest_term, weight, leaving, free_millicores,
                  expected_wait, configuration_version, time_to_claim, interval,
-                 successors, owner_known, yields_to, evacuated] = message;
+                 successors, owner_known, yields_to, evacuated, crashes] =
+        message;
     std::vector<std::uint32_t> successor_ids;
     successor_ids.reserve(successors.size());
     for (auto const successor : successors)
@@ -330,12 +331,28 @@
         domain_ids.push_back(domain.value());
     }
     auto const domain_list = out.CreateVector(domain_ids);
+    // Heartbeats are frequent and usually have no crashes to report.
+    fb::Offset<fb::Vector<fb::Offset<detail::TaskCrashes>>> crash_list;
+    if (!crashes.empty())
+    {
+        std::vector<fb::Offset<detail::TaskCrashes>> counts;
+        counts.reserve(crashes.size());
+        for (auto const& [task, suspected, confirmed] : crashes)
+        {
+            counts.push_back(detail::CreateTaskCrashes(
+                out, task.job.value(), task.group, task.index,
+                suspected.crashes, suspected.alone, confirmed.crashes,
+                confirmed.alone));
+        }
+        crash_list = out.CreateVector(counts);
+    }
     return {detail::Message::OwnerHeartbeat,
             detail::CreateOwnerHeartbeat(
                 out, term, highest_term, weight, leaving, free_millicores,
                 expected_wait.count(), configuration_version,
                 time_to_claim.count(), interval.count(), successor_list,
-                owner_known, yields_to.value(), evacuated.version, domain_list)
+                owner_known, yields_to.value(), evacuated.version, domain_list,
+                crash_list)
                 .Union()};
 }
 
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -32,6 +32,38 @@
     return group;
 }
 
+/// Returns whether the counts are consistent and not more than allowed.
+bool decode_crashes(OwnerHeartbeat const& source, core::owner_heartbeat& target)
+{
+    auto const* const crashes = source.crashes();
+    if (crashes == nullptr)
+    {
+        return true;
+    }
+    if (crashes->size() > core::max_reported_crashes)
+    {
+        return false;
+    }
+    for (auto const* const entry : *crashes)
+    {
+        core::crash_count const suspected{entry->suspected(),
+                                          entry->suspected_alone()};
+        core::crash_count const confirmed{entry->confirmed(),
+                                          entry->confirmed_alone()};
+        if (suspected.alone > suspected.crashes ||
+            confirmed.alone > confirmed.crashes ||
+            confirmed.crashes > suspected.crashes)
+        {
+            return false;
+        }
+        target.crashes.push_back({{core::client_job_id{entry->job()},
+                                   entry->group(), entry->index()},
+                                  suspected,
+                                  confirmed});
+    }
+    return true;
+}
+
 } // namespace
 
 std::optional<core::peer_message> decode(JobOffer const& source)
@@ -127,7 +159,8 @@
             message.evacuated.domains.emplace(domain);
         }
     }
-    return message;
+    return decode_crashes(source, message) ? std::optional{message}
+                                           : std::nullopt;
 }
 
 std::optional<core::peer_message> decode(ExecutorSpeeds const& source)
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -84,16 +84,17 @@
     description.labels = std::move(labels);
 }
 
-executor_clock executor_fleet::clock() const
+executor_clock executor_fleet::clock(simulated_executor const& target) const
 {
     return executor_clock{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())
+        std::chrono::duration_cast<milliseconds>(now_ - target.clock_start)
             .count())};
 }
 
-time_point executor_fleet::to_time(executor_clock clock)
+time_point executor_fleet::to_time(simulated_executor const& target,
+                                   executor_clock clock)
 {
-    return time_point{milliseconds{clock.value()}};
+    return target.clock_start + milliseconds{clock.value()};
 }
 
 void executor_fleet::schedule(duration delay, std::function<void()> work)
@@ -187,7 +188,7 @@
         return order_outcome::fenced;
     }
     target.token = order.token.value();
-    if (to_time(order.lease_until) <= now_)
+    if (to_time(target, order.lease_until) <= now_)
     {
         return order_outcome::lease_expired;
     }
@@ -218,9 +219,9 @@
                                   }));
     }
     ++starts_[order.run.task.job];
-    target.lease_until =
-        std::max(target.lease_until,
-                 std::min(to_time(order.lease_until), now_ + longest_lease));
+    target.lease_until = std::max(
+        target.lease_until,
+        std::min(to_time(target, order.lease_until), now_ + longest_lease));
     auto const total = run_time(target, order.run.task);
     auto const ends = target.behaviour.hangs ? time_point::max() : now_ + total;
     target.runs.push_back({order.run, now_, ends, total});
@@ -276,7 +277,7 @@
                  auto const outcome = target.behaviour.replaced
                                           ? order_outcome::other_incarnation
                                           : start(target, order);
-                 auto const read = clock();
+                 auto const read = clock(target);
                  schedule(one_way_latency,
                           [order, answer, outcome, read]
                           {
@@ -299,25 +300,25 @@
                  });
         return;
     }
-    schedule(
-        one_way_latency,
-        [this, order, answer, &target]
-        {
-            auto outcome = order_outcome::fenced;
-            if (order.token.value() >= target.token)
-            {
-                target.token = order.token.value();
-                outcome = order_outcome::accepted;
-                auto& highest = target.highest_ended[order.run.task];
-                highest = std::max(highest, order.run.execution);
-                schedule(stop_time,
-                         [this, order, &target]
-                         {
-                             end_run(target, order.run, run_end::stopped);
-                         });
-            }
-            answer({order.order, order.executor, order.run, outcome, clock()});
-        });
+    schedule(one_way_latency,
+             [this, order, answer, &target]
+             {
+                 auto outcome = order_outcome::fenced;
+                 if (order.token.value() >= target.token)
+                 {
+                     target.token = order.token.value();
+                     outcome = order_outcome::accepted;
+                     auto& highest = target.highest_ended[order.run.task];
+                     highest = std::max(highest, order.run.execution);
+                     schedule(stop_time,
+                              [this, order, &target]
+                              {
+                                  end_run(target, order.run, run_end::stopped);
+                              });
+                 }
+                 answer({order.order, order.executor, order.run, outcome,
+                         clock(target)});
+             });
 }
 
 bool executor_fleet::drops_order()
@@ -337,7 +338,7 @@
         answer.outcome = order_outcome::other_incarnation;
         return answer;
     }
-    answer.clock = clock();
+    answer.clock = clock(target);
     answer.incarnation = target.description.incarnation;
     if (order.token.value() < target.token)
     {
@@ -348,9 +349,9 @@
     answer.outcome = order_outcome::accepted;
     if (order.lease_until)
     {
-        target.lease_until =
-            std::max(target.lease_until, std::min(to_time(*order.lease_until),
-                                                  now_ + longest_lease));
+        target.lease_until = std::max(
+            target.lease_until, std::min(to_time(target, *order.lease_until),
+                                         now_ + longest_lease));
     }
     std::erase_if(target.finished,
                   [&order](finished_run const& run)
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -144,6 +144,8 @@
         executor_behaviour behaviour;
         /// Number of processes before this one.
         std::uint64_t restarts = 0;
+        /// Time at which the executor's clock was 0, at its process's start.
+        core::time_point clock_start{};
         std::uint64_t token = 0;
         std::uint64_t last_finished_number = 0;
         core::time_point lease_until{};
@@ -171,8 +173,10 @@
     void end_run(simulated_executor& target, core::task_run const& run,
                  core::run_end end);
     void advance(simulated_executor& target);
-    [[nodiscard]] core::executor_clock clock() const;
-    [[nodiscard]] static core::time_point to_time(core::executor_clock clock);
+    [[nodiscard]] core::executor_clock
+    clock(simulated_executor const& target) const;
+    [[nodiscard]] static core::time_point
+    to_time(simulated_executor const& target, core::executor_clock clock);
 
     core::time_point now_{std::chrono::seconds{1000}};
     std::uint64_t sequence_ = 0;
--- a/tests/support/executor_fleet_crashes.cpp
+++ b/tests/support/executor_fleet_crashes.cpp
@@ -50,6 +50,7 @@
     constexpr std::uint64_t incarnation_step = 1000;
     auto& target = executors_.at(id);
     target.behaviour = {};
+    target.clock_start = now_;
     target.description.incarnation += incarnation_step;
     if (on_restarted)
     {
--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -78,10 +78,19 @@
     apply(out);
 }
 
-void fleet_owner::offer(leased_job const& job, bool resumed, instance_id origin)
+void fleet_owner::offer(leased_job const& job, bool resumed, instance_id origin,
+                        duration elapsed)
 {
     std::vector<scheduler_action> out;
-    scheduler.offer(origin, {job, {}, resumed}, fleet_.now(), out);
+    scheduler.offer(origin, {job, elapsed, resumed}, fleet_.now(), out);
+    apply(out);
+}
+
+void fleet_owner::adopt_crashes(fleet_owner const& other)
+{
+    std::vector<scheduler_action> out;
+    scheduler.adopt_crashes(other.scheduler.crash_report(fleet_.now()),
+                            fleet_.now(), out);
     apply(out);
 }
 
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -30,7 +30,12 @@
     void list(core::executor_id id);
     void take_over(std::uint64_t token, bool roster_known);
     void offer(core::leased_job const& job, bool resumed = false,
-               core::instance_id origin = core::instance_id{1});
+               core::instance_id origin = core::instance_id{1},
+               core::duration elapsed = {});
+
+    /// @brief Adopts the crashes that another owner has counted, as from its
+    /// last heartbeat.
+    void adopt_crashes(fleet_owner const& other);
 
     /// @brief Ends the owner's process; orders that it has sent still arrive.
     void kill()
--- a/tests/unit/crash_counts_at_successor.cpp
+++ b/tests/unit/crash_counts_at_successor.cpp
@@ -28,12 +28,13 @@
         {
             owners.back()->list(id);
         };
-        job_.groups.clear();
+        send_heartbeats();
     }
 
     void submit(leased_job const& job, duration work)
     {
         job_ = job;
+        submitted_at_ = fleet.now();
         replace_owner();
         owners.back()->submit(job, work);
     }
@@ -45,14 +46,18 @@
         if (!owners.empty())
         {
             owners.back()->kill();
+            is_owner_lost_ = true;
             fleet.run_for(milliseconds{300});
         }
-        owners.push_back(std::make_unique<fleet_owner>(fleet));
+        owners.push_back(std::move(successor_));
+        successor_ = std::make_unique<fleet_owner>(fleet);
+        is_owner_lost_ = false;
         owners.back()->list_all();
         owners.back()->take_over(owners.size(), true);
         if (owners.size() > 1)
         {
-            owners.back()->offer(job_, true);
+            owners.back()->offer(job_, true, instance_id{1},
+                                 fleet.now() - submitted_at_);
         }
     }
 
@@ -60,7 +65,25 @@
     std::vector<std::unique_ptr<fleet_owner>> owners;
 
 private:
+    /// The owner sends the crashes that it has counted to its successor.
+    void send_heartbeats()
+    {
+        if (!owners.empty() && !is_owner_lost_)
+        {
+            successor_->adopt_crashes(*owners.back());
+        }
+        fleet.schedule(milliseconds{100},
+                       [this]
+                       {
+                           send_heartbeats();
+                       });
+    }
+
     leased_job job_;
+    time_point submitted_at_{};
+    std::unique_ptr<fleet_owner> successor_ =
+        std::make_unique<fleet_owner>(fleet);
+    bool is_owner_lost_ = false;
 };
 
 class crash_counts_at_successor_test : public CppUnit::TestFixture
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -90,19 +90,21 @@
         core::job_withdrawal{core::client_job_id{27}},
         core::job_verdict{core::client_job_id{28}, core::job_outcome::rejected,
                           std::chrono::seconds{2}},
-        core::owner_heartbeat{29,
-                              30,
-                              31,
-                              true,
-                              32,
-                              std::chrono::milliseconds{33},
-                              38,
-                              std::chrono::milliseconds{39},
-                              std::chrono::milliseconds{40},
-                              {core::instance_id{41}, core::instance_id{42}},
-                              true,
-                              core::instance_id{43},
-                              {44, {core::domain_id{45}, core::domain_id{46}}}},
+        core::owner_heartbeat{
+            29,
+            30,
+            31,
+            true,
+            32,
+            std::chrono::milliseconds{33},
+            38,
+            std::chrono::milliseconds{39},
+            std::chrono::milliseconds{40},
+            {core::instance_id{41}, core::instance_id{42}},
+            true,
+            core::instance_id{43},
+            {44, {core::domain_id{45}, core::domain_id{46}}},
+            {{{core::client_job_id{47}, 48, 49}, {53, 52}, {51, 50}}}},
         core::executor_speeds{{{"i-1", 0.625, 12.0}}},
         core::peer_addresses{{"127.0.0.1:9101", "127.0.0.1:9102"}},
         core::published_configuration{34, "{\"version\":34}"},
@@ -141,6 +143,7 @@
     CPPUNIT_TEST(invalid_headers_are_rejected);
     CPPUNIT_TEST(corrupted_envelopes_are_decoded_safely);
     CPPUNIT_TEST(out_of_range_values_are_rejected);
+    CPPUNIT_TEST(inconsistent_crash_counts_are_rejected);
     CPPUNIT_TEST(oversized_message_is_not_written);
     CPPUNIT_TEST_SUITE_END();
 
@@ -274,6 +277,24 @@
                        core::error_code::malformed_frame);
     }
 
+    // Guards against a report that gives up tasks without cause, or that fills
+    // the memory of its receiver.
+    void inconsistent_crash_counts_are_rejected()
+    {
+        auto const rejects = [](std::vector<core::task_crashes> const& crashes)
+        {
+            core::owner_heartbeat heartbeat;
+            heartbeat.crashes = crashes;
+            return decode_error(frame_of(heartbeat)) ==
+                   core::error_code::malformed_frame;
+        };
+        CPPUNIT_ASSERT(rejects({{{}, {1, 2}, {1, 1}}}));
+        CPPUNIT_ASSERT(rejects({{{}, {2, 2}, {1, 2}}}));
+        CPPUNIT_ASSERT(rejects({{{}, {1, 1}, {2, 1}}}));
+        CPPUNIT_ASSERT(rejects(std::vector<core::task_crashes>(
+            core::max_reported_crashes + 1, {{}, {1, 1}, {1, 1}})));
+    }
+
     // Guards against sending a frame that the receiver has to reject as too
     // large.
     void oversized_message_is_not_written()
