Stop repeating starts that a shrunk executor refuses

Each start that an executor refuses for lack of capacity is paid for. When its capacity had shrunk and the store did not show it yet, the same start was sent again after each poll, with more than three refusals in a second.

Cause: after a refusal the poll confirms the runs, but the listed capacity still has room for the start, so the executor was chosen again at once.

Change: the scheduler remembers the total of amounts that was refused. Starts that reach it wait until the capacity is listed anew, or for 200 ms, doubled with each refusal up to 1.6 s. An accepted start that reaches the total, and an unknown run that explains the refusal, end the wait.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -102,6 +102,18 @@
     bool alone = false;
 };
 
+/// @brief Amounts that an executor has refused for lack of capacity, although
+/// its listed capacity has room for them.
+struct capacity_refusal
+{
+    /// Amounts of all runs with the refused one.
+    resource_amounts total;
+    /// Time until which no start may reach the total.
+    time_point expires_at{};
+    /// Number of refusals in a row.
+    std::uint32_t count = 0;
+};
+
 /// @brief State of one executor as known to its owner.
 struct executor_record
 {
@@ -131,6 +143,7 @@
     /// Whether a poll must confirm the free capacity before the next start.
     bool capacity_unconfirmed = false;
     resource_amounts used;
+    std::optional<capacity_refusal> refusal;
     std::vector<run_record> runs;
     std::vector<unconfirmed_crash> unconfirmed_crashes;
     executor_health health;
@@ -142,6 +155,17 @@
         free_capacity -= used;
         return free_capacity;
     }
+
+    /// Whether the executor would refuse the amounts, as it has refused as much
+    /// shortly before.
+    [[nodiscard]] bool would_refuse(resource_amounts const& amounts,
+                                    time_point now) const
+    {
+        auto total = used;
+        total += amounts;
+        return refusal && now < refusal->expires_at &&
+               refusal->total.fits_into(total);
+    }
 };
 
 /// State of a task.
@@ -374,6 +398,11 @@
     void record_clock(executor_record& executor,
                       std::optional<executor_clock> clock,
                       time_point now) const;
+    /// Records a refusal for lack of capacity.
+    /// @param refused the amounts of the refused run, which is still recorded
+    static void record_refusal(executor_record& executor,
+                               run_record const& refused,
+                               scheduler_context& context);
     /// Handles a refusal by an executor that has seen a higher token.
     void fence_executor(executor_record& executor, scheduler_context& context);
     void lose_executor(executor_record& executor, std::string_view reason,
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -118,6 +118,10 @@
         state_.restart_executor(executor, description.incarnation, context);
         executor.health = {};
     }
+    if (executor.description.capacity != description.capacity)
+    {
+        executor.refusal.reset();
+    }
     executor.id = id;
     executor.description = description;
     executor.listed = true;
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -337,6 +337,8 @@
     {
         if (find_run(executor, entry.run) == nullptr)
         {
+            // An unknown run, not a smaller capacity, explains a refusal.
+            executor.refusal.reset();
             request_stop(
                 executor,
                 add_listed_run(executor, entry.run, context.now, context.now),
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -52,6 +52,12 @@
 /// number that an earlier owner used is unknown.
 constexpr std::uint32_t stale_execution_step = 8;
 
+/// Time after a refusal for lack of capacity in which an executor gets no start
+/// of the same total. It doubles with each refusal, up to 1.6 s; the list of
+/// executors is read every 300 ms.
+constexpr duration first_refusal_delay = std::chrono::milliseconds{200};
+constexpr std::uint32_t max_refusal_doublings = 3;
+
 } // namespace
 
 order_id scheduler_state::next_order()
@@ -188,6 +194,28 @@
     return false;
 }
 
+// The executor's capacity may have shrunk since it was listed. Starts that
+// would reach the refused total wait until the smaller capacity is listed, or
+// for a time that doubles with each refusal, as a run that ended late can also
+// be the cause.
+void scheduler_state::record_refusal(executor_record& executor,
+                                     run_record const& refused,
+                                     scheduler_context& context)
+{
+    auto const count = executor.refusal ? executor.refusal->count : 0;
+    auto const doublings = std::min(count, max_refusal_doublings);
+    executor.refusal = {executor.used,
+                        context.now + first_refusal_delay * (1U << doublings),
+                        count + 1};
+    scheduler_log_event log_event{.event = "capacity_refused",
+                                  .job = refused.run.task.job,
+                                  .run = refused.run,
+                                  .executor = executor.id};
+    log_event.run_time = executor.refusal->expires_at - context.now;
+    log_event.count = executor.refusal->count;
+    context.out.emplace_back(log_event);
+}
+
 void scheduler_state::start_answered(order_answer const& answer,
                                      scheduler_context& context)
 {
@@ -205,6 +233,11 @@
             run.phase = run_phase::running;
             run.confirmed_at = context.now;
         }
+        if (executor.refusal &&
+            executor.refusal->total.fits_into(executor.used))
+        {
+            executor.refusal.reset();
+        }
         return;
     }
     scheduler_log_event log_event{.event = "start_refused",
@@ -243,6 +276,10 @@
     case order_outcome::invalid:
         executor.health.record_failure(context.now);
         break;
+    case order_outcome::no_room:
+        record_refusal(executor, run, context);
+        executor.capacity_unconfirmed = true;
+        break;
     default:
         executor.capacity_unconfirmed = true;
         break;
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -178,7 +178,8 @@
     for (auto const* const executor : pool.with_capacity)
     {
         auto const free = executor->free_capacity();
-        if (!group_spec.each_task.fits_into(free))
+        if (!group_spec.each_task.fits_into(free) ||
+            executor->would_refuse(group_spec.each_task, now))
         {
             continue;
         }
@@ -343,7 +344,8 @@
         used->free -= group_spec.each_task;
         --used->starts_left;
         // An executor that is being probed gets no second task.
-        if (!accepts(executor, context.now))
+        if (!accepts(executor, context.now) ||
+            executor.would_refuse(group_spec.each_task, context.now))
         {
             candidates.erase(used);
         }
