Build the heartbeat of the codec test by its fields

GCC 12 with -O2 took the aggregate of fourteen values, now with a list of crashes, for partly uninitialized (-Wmaybe-uninitialized), so unit_tests did not build in the release configuration. The test checks the same values, assigned one by one.

--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -62,6 +62,28 @@
     return {job, milliseconds{7}, true};
 }
 
+core::owner_heartbeat make_heartbeat()
+{
+    using std::chrono::milliseconds;
+    core::owner_heartbeat heartbeat;
+    heartbeat.term = 29;
+    heartbeat.highest_term = 30;
+    heartbeat.weight = 31;
+    heartbeat.leaving = true;
+    heartbeat.free_millicores = 32;
+    heartbeat.expected_wait = milliseconds{33};
+    heartbeat.configuration_version = 38;
+    heartbeat.time_to_claim = milliseconds{39};
+    heartbeat.interval = milliseconds{40};
+    heartbeat.successors = {core::instance_id{41}, core::instance_id{42}};
+    heartbeat.owner_known = true;
+    heartbeat.yields_to = core::instance_id{43};
+    heartbeat.evacuated = {44, {core::domain_id{45}, core::domain_id{46}}};
+    heartbeat.crashes = {
+        {{core::client_job_id{47}, 48, 49}, {53, 52}, {51, 50}}};
+    return heartbeat;
+}
+
 /// Returns messages of all types. Apart from a slot message without a need, no
 /// field has its default value, so that a field that is not encoded is noticed.
 std::vector<core::peer_message> all_messages()
@@ -90,21 +112,7 @@
         core::job_withdrawal{core::client_job_id{27}},
         core::job_verdict{core::client_job_id{28}, core::job_outcome::rejected,
                           std::chrono::seconds{2}},
-        core::owner_heartbeat{
-            29,
-            30,
-            31,
-            true,
-            32,
-            std::chrono::milliseconds{33},
-            38,
-            std::chrono::milliseconds{39},
-            std::chrono::milliseconds{40},
-            {core::instance_id{41}, core::instance_id{42}},
-            true,
-            core::instance_id{43},
-            {44, {core::domain_id{45}, core::domain_id{46}}},
-            {{{core::client_job_id{47}, 48, 49}, {53, 52}, {51, 50}}}},
+        make_heartbeat(),
         core::executor_speeds{{{"i-1", 0.625, 12.0}}},
         core::peer_addresses{{"127.0.0.1:9101", "127.0.0.1:9102"}},
         core::published_configuration{34, "{\"version\":34}"},
