Keep the crash counts of open jobs

A caller that waits longer than 60 s could have had its task counted anew: the counts expired 60 s after the last crash, also while the job was open.

--- a/include/goldcrestgate/core/leasing/crash_ledger.hpp
+++ b/include/goldcrestgate/core/leasing/crash_ledger.hpp
@@ -67,8 +67,10 @@
     /// @brief Drops the counts of a task that is done.
     void forget(leased_task const& task);
 
-    /// @brief Drops the counts that have not changed for a long time.
-    void expire(time_point now);
+    /// @brief Drops the counts that have not changed for a long time, except
+    /// those of open jobs.
+    void expire(time_point now,
+                std::function<bool(client_job_id)> const& is_open);
 
     /// @brief Returns whether an executor may have crashed under the task.
     [[nodiscard]] bool is_suspect(leased_task const& task) const;
--- a/src/core/leasing/crash_ledger.cpp
+++ b/src/core/leasing/crash_ledger.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Counts are kept longer than a caller waits and submits its job again.
+/// The counts of an ended job are kept for a caller that submits it again.
 constexpr duration count_retention = std::chrono::seconds{60};
 
 /// Time for which the count of an ended job is reported; heartbeats of an owner
@@ -97,12 +97,14 @@
     entries_.erase(task);
 }
 
-void crash_ledger::expire(time_point now)
+void crash_ledger::expire(time_point now,
+                          std::function<bool(client_job_id)> const& is_open)
 {
     std::erase_if(entries_,
-                  [now](auto const& item)
+                  [&](auto const& item)
                   {
-                      return now - item.second.changed_at > count_retention;
+                      return now - item.second.changed_at > count_retention &&
+                             !is_open(item.first.job);
                   });
 }
 
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -436,7 +436,11 @@
         speeds.remove(id);
         executors.erase(id);
     }
-    crashes.expire(context.now);
+    crashes.expire(context.now,
+                   [this](client_job_id job)
+                   {
+                       return jobs.contains(job);
+                   });
     move_or_abandon_late_runs(context);
     expire_jobs(context);
     place_waiting(context);
--- a/tests/unit/crash_counts_at_successor.cpp
+++ b/tests/unit/crash_counts_at_successor.cpp
@@ -3,7 +3,9 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace
@@ -33,14 +35,16 @@
 
     void submit(leased_job const& job, duration work)
     {
-        job_ = job;
-        submitted_at_ = fleet.now();
-        replace_owner();
+        if (owners.empty())
+        {
+            replace_owner();
+        }
+        jobs_.push_back({job, fleet.now()});
         owners.back()->submit(job, work);
     }
 
-    /// @brief Kills the owner; its successor takes over and is offered the job
-    /// again.
+    /// @brief Kills the owner; its successor takes over and is offered the open
+    /// jobs again.
     void replace_owner()
     {
         if (!owners.empty())
@@ -54,13 +58,25 @@
         is_owner_lost_ = false;
         owners.back()->list_all();
         owners.back()->take_over(owners.size(), true);
-        if (owners.size() > 1)
+        for (auto const& [job, submitted_at] : jobs_)
         {
-            owners.back()->offer(job_, true, instance_id{1},
-                                 fleet.now() - submitted_at_);
+            if (!has_verdict(job.id))
+            {
+                owners.back()->offer(job, true, instance_id{1},
+                                     fleet.now() - submitted_at);
+            }
         }
     }
 
+    [[nodiscard]] bool has_verdict(client_job_id job) const
+    {
+        return std::ranges::any_of(owners,
+                                   [job](auto const& owner)
+                                   {
+                                       return owner->verdicts.contains(job);
+                                   });
+    }
+
     executor_fleet fleet;
     std::vector<std::unique_ptr<fleet_owner>> owners;
 
@@ -79,8 +95,13 @@
                        });
     }
 
-    leased_job job_;
-    time_point submitted_at_{};
+    struct submitted_job
+    {
+        leased_job job;
+        time_point submitted_at{};
+    };
+
+    std::vector<submitted_job> jobs_;
     std::unique_ptr<fleet_owner> successor_ =
         std::make_unique<fleet_owner>(fleet);
     bool is_owner_lost_ = false;
@@ -90,6 +111,7 @@
 {
     CPPUNIT_TEST_SUITE(crash_counts_at_successor_test);
     CPPUNIT_TEST(task_is_started_twice_at_most_after_three_crashes);
+    CPPUNIT_TEST(random_handovers_and_crashes_keep_the_bound);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,6 +142,51 @@
                                          test.fleet.duplicate_runs);
         }
     }
+
+    // Guards against combinations: owners that are killed at random moments
+    // while tasks crash executors, beside tasks that do not.
+    void random_handovers_and_crashes_keep_the_bound()
+    {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed)
+        {
+            run_seed(seed);
+        }
+    }
+
+private:
+    static void run_seed(std::uint64_t seed)
+    {
+        std::mt19937_64 random{seed};
+        auto const pick = [&random](std::uint64_t below)
+        {
+            return random() % below;
+        };
+        succession test{10};
+        for (std::uint64_t id = 1; id <= 50; ++id)
+        {
+            auto const tasks = static_cast<std::uint16_t>(1 + pick(4));
+            auto const work = milliseconds{30 + pick(400)};
+            auto job = tests::make_leased_job(id, tasks, work);
+            job.objective = seconds{40};
+            job.time_limit = seconds{60};
+            if (pick(12) == 0)
+            {
+                test.fleet.set_crashing({job.id, 0, 0});
+            }
+            test.submit(job, work);
+            test.fleet.run_for(milliseconds{20 + pick(150)});
+            if (pick(8) == 0)
+            {
+                test.replace_owner();
+            }
+        }
+        test.fleet.run_for(seconds{60});
+        auto const label = "seed " + std::to_string(seed);
+        CPPUNIT_ASSERT_MESSAGE(label,
+                               test.fleet.most_starts_after_third_crash() <= 2);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(label, std::size_t{0},
+                                     test.fleet.duplicate_runs);
+    }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(crash_counts_at_successor_test,
