--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestgate/core/leasing/admission.hpp"
+#include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/executor_health.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -83,6 +85,33 @@
     /// Set for a run whose job is not known here, such as that of an earlier
     /// owner until its job is offered again; the run is stopped at this time.
     std::optional<time_point> orphan_deadline;
+    /// Whether an executor may have crashed under the task; nothing is started
+    /// beside the run.
+    bool isolated = false;
+    /// Whether an earlier process of the executor may have had the run.
+    bool sent_before_restart = false;
+    /// Whether the earlier process had no other run.
+    bool alone_before_restart = false;
+};
+
+/// @brief A run that ended with the lease of a silent executor, which may have
+/// crashed.
+struct unconfirmed_crash
+{
+    task_run run;
+    bool alone = false;
+};
+
+/// @brief Amounts that an executor has refused for lack of capacity, although
+/// its listed capacity has room for them.
+struct capacity_refusal
+{
+    /// Amounts of all runs with the refused one.
+    resource_amounts total;
+    /// Time until which no start may reach the total.
+    time_point expires_at{};
+    /// Number of refusals in a row.
+    std::uint32_t count = 0;
 };
 
 /// @brief A start that got no answer and may arrive late.
@@ -129,7 +158,9 @@
     /// Whether a poll must confirm the free capacity before the next start.
     bool capacity_unconfirmed = false;
     resource_amounts used;
+    std::optional<capacity_refusal> refusal;
     std::vector<run_record> runs;
+    std::vector<unconfirmed_crash> unconfirmed_crashes;
     executor_health health;
 
     /// Capacity that no run uses.
@@ -139,6 +170,17 @@
         free_capacity -= used;
         return free_capacity;
     }
+
+    /// Whether the executor would refuse the amounts, as it has refused as much
+    /// shortly before.
+    [[nodiscard]] bool would_refuse(resource_amounts const& amounts,
+                                    time_point now) const
+    {
+        auto total = used;
+        total += amounts;
+        return refusal && now < refusal->expires_at &&
+               refusal->total.fits_into(total);
+    }
 };
 
 /// @brief News about the process of an executor.
@@ -253,6 +295,8 @@
     slowdown_range speeds;
     /// Those that have unused capacity.
     std::vector<executor_record const*> with_capacity;
+    /// Number of executors that are kept for suspect tasks.
+    std::size_t reserved = 0;
 };
 
 /// @brief State of a @ref job_scheduler, shared by its source files.
@@ -279,11 +323,25 @@
     std::unordered_map<client_job_id, job_record> jobs;
     std::unordered_map<client_job_id, retained_verdict> retained_verdicts;
     speed_model speeds;
+    crash_ledger crashes;
 
     // jobs
     void offer(instance_id origin, job_offer const& offered,
                scheduler_context& context);
     void place_waiting(scheduler_context& context);
+    /// Places suspect tasks on executors without runs. An executor that is to
+    /// run one next is removed from the pool.
+    void place_suspects(job_record& job, executor_pool& pool,
+                        scheduler_context& context);
+    void place_suspects(job_record& job, std::uint16_t group,
+                        executor_pool& pool, scheduler_context& context);
+    /// Removes the executor with the fewest runs that can run a task of the
+    /// group, so that it has none soon.
+    static void reserve_executor(job_record const& job, std::uint16_t group,
+                                 executor_pool& pool);
+    [[nodiscard]] static placement_request
+    make_placement_request(job_record const& job, std::uint16_t group,
+                           executor_pool const& pool, time_point now);
     void place_job(job_record& job, executor_pool const& pool,
                    scheduler_context& context);
     void place_group(job_record& job, std::uint16_t group,
@@ -364,6 +422,11 @@
     void record_clock(executor_record& executor,
                       std::optional<executor_clock> clock,
                       time_point now) const;
+    /// Records a refusal for lack of capacity.
+    /// @param refused the amounts of the refused run, which is still recorded
+    static void record_refusal(executor_record& executor,
+                               run_record const& refused,
+                               scheduler_context& context);
     /// Handles a refusal by an executor that has seen a higher token.
     void fence_executor(executor_record& executor, scheduler_context& context);
     void lose_executor(executor_record& executor, std::string_view reason,
@@ -385,6 +448,25 @@
     lease_end(executor_record& executor, time_point now) const;
     [[nodiscard]] order_id next_order();
 
+    // crashes
+    /// Counts a possible crash under the runs of a silent executor.
+    void suspect_crash(executor_record& executor,
+                       std::span<run_record const> runs,
+                       scheduler_context& context);
+    /// Confirms the possible crashes of an executor that has lost its runs.
+    void confirm_crashes(executor_record& executor, scheduler_context& context);
+    /// Takes back the possible crashes of an executor that was only silent.
+    void refute_crashes(executor_record& executor, scheduler_context& context);
+    /// Counts a certain crash.
+    void count_crash(executor_record const& executor, task_run const& run,
+                     bool alone, scheduler_context& context);
+    /// Ends the job of a task that crashes its executors.
+    void end_crash_looping_job(client_job_id id, scheduler_context& context);
+    /// Counts a possible crash under each waiting task of an inherited job if
+    /// an executor may have crashed without the knowledge of the earlier owner.
+    void suspect_unlisted_tasks(job_record const& job,
+                                scheduler_context& context);
+
     // leases
     /// Sends a poll.
     /// @param acknowledged last finished run that the executor may drop. Only a
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -73,6 +73,7 @@
         executor.poll.reset();
         executor.runs.clear();
         executor.unanswered_starts.clear();
+        executor.unconfirmed_crashes.clear();
         executor.used = {};
         executor.lease_expires_at = now + state_.lease_expiry_time();
     }
@@ -124,6 +125,10 @@
                                 context);
         executor.health = {};
     }
+    if (executor.description.capacity != description.capacity)
+    {
+        executor.refusal.reset();
+    }
     executor.id = id;
     executor.description = description;
     executor.description.incarnation = named_incarnation;
@@ -159,7 +164,9 @@
         executor.unlisted_at = now;
     }
     executor.listed = false;
-    if (!state_.owner || executor.runs.empty())
+    bool const in_use =
+        !executor.runs.empty() || !executor.unconfirmed_crashes.empty();
+    if (!state_.owner || !in_use)
     {
         state_.speeds.remove(id);
         state_.executors.erase(found);
@@ -271,6 +278,34 @@
     return now + (busy ? busy_tick_interval : idle_tick_interval);
 }
 
+std::vector<task_crashes> job_scheduler::crash_report(time_point now) const
+{
+    if (!state_.owner)
+    {
+        return {};
+    }
+    return state_.crashes.report(now,
+                                 [this](client_job_id job)
+                                 {
+                                     return state_.jobs.contains(job);
+                                 });
+}
+
+void job_scheduler::adopt_crashes(std::span<task_crashes const> counts,
+                                  time_point now,
+                                  std::vector<scheduler_action>& out)
+{
+    state_.crashes.adopt(counts, now);
+    scheduler_context context{now, out};
+    for (auto const& count : counts)
+    {
+        if (state_.crashes.is_crash_looping(count.task))
+        {
+            state_.end_crash_looping_job(count.task.job, context);
+        }
+    }
+}
+
 std::set<instance_id> job_scheduler::origins() const
 {
     std::set<instance_id> origins;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -55,6 +55,12 @@
 /// number that an earlier owner used is unknown.
 constexpr std::uint32_t stale_execution_step = 8;
 
+/// Time after a refusal for lack of capacity in which an executor gets no start
+/// of the same total. It doubles with each refusal, up to 1.6 s; the list of
+/// executors is read every 300 ms.
+constexpr duration first_refusal_delay = std::chrono::milliseconds{200};
+constexpr std::uint32_t max_refusal_doublings = 3;
+
 void forget_old_starts(executor_record& executor, time_point now)
 {
     std::erase_if(executor.unanswered_starts,
@@ -139,6 +145,7 @@
         group_spec.estimate, rack_factor(executor.description, group_spec));
     run.expected_run_time = expected_run_time;
     run.sent_at = context.now;
+    run.isolated = crashes.is_suspect(run.run.task);
     bool const was_idle = executor.runs.empty();
     executor.used += run.amounts;
     executor.runs.push_back(run);
@@ -203,6 +210,28 @@
     return false;
 }
 
+// The executor's capacity may have shrunk since it was listed. Starts that
+// would reach the refused total wait until the smaller capacity is listed, or
+// for a time that doubles with each refusal, as a run that ended late can also
+// be the cause.
+void scheduler_state::record_refusal(executor_record& executor,
+                                     run_record const& refused,
+                                     scheduler_context& context)
+{
+    auto const count = executor.refusal ? executor.refusal->count : 0;
+    auto const doublings = std::min(count, max_refusal_doublings);
+    executor.refusal = {executor.used,
+                        context.now + first_refusal_delay * (1U << doublings),
+                        count + 1};
+    scheduler_log_event log_event{.event = "capacity_refused",
+                                  .job = refused.run.task.job,
+                                  .run = refused.run,
+                                  .executor = executor.id};
+    log_event.run_time = executor.refusal->expires_at - context.now;
+    log_event.count = executor.refusal->count;
+    context.out.emplace_back(log_event);
+}
+
 void scheduler_state::start_answered(order_answer const& answer,
                                      scheduler_context& context)
 {
@@ -220,6 +249,11 @@
             run.phase = run_phase::running;
             run.confirmed_at = context.now;
         }
+        if (executor.refusal &&
+            executor.refusal->total.fits_into(executor.used))
+        {
+            executor.refusal.reset();
+        }
         return;
     }
     scheduler_log_event log_event{.event = "start_refused",
@@ -229,6 +263,14 @@
     log_event.reason = outcome_name(answer.outcome);
     log_event.run_time = context.now - run.sent_at;
     context.out.emplace_back(log_event);
+    if (answer.outcome == order_outcome::other_incarnation)
+    {
+        // The process that crashed never had this run.
+        auto const refused = run;
+        revoke_start(refused);
+        remove_run(executor, answer.run);
+        requeue_task(refused);
+    }
     if (handle_executor_loss(executor, answer.outcome, context))
     {
         return;
@@ -253,6 +295,10 @@
     case order_outcome::invalid:
         executor.health.record_failure(context.now);
         break;
+    case order_outcome::no_room:
+        record_refusal(executor, run, context);
+        executor.capacity_unconfirmed = true;
+        break;
     default:
         executor.capacity_unconfirmed = true;
         break;
@@ -343,6 +389,16 @@
     executor.clock.reset();
     executor.acknowledged = 0;
     executor.unresponsive = false;
+    // An executor that has left after draining has not crashed.
+    if (!executor.description.draining)
+    {
+        for (auto& run : executor.runs)
+        {
+            run.sent_before_restart = true;
+            run.alone_before_restart = executor.runs.size() == 1;
+        }
+    }
+    confirm_crashes(executor, context);
     executor.last_uncertain_order = order_id{last_order};
     // The new process may have carried out a start just now. It counts the
     // lease from then on, as the deadline of the order was on another clock.
@@ -414,6 +470,15 @@
     {
         requeue_task(run);
     }
+    confirm_crashes(executor, context);
+    if (executor.description.draining)
+    {
+        return;
+    }
+    for (auto const& run : runs)
+    {
+        count_crash(executor, run.run, runs.size() == 1, context);
+    }
 }
 
 } // namespace detail
