Test the clock of an earlier process on an idle executor

Cause: since crashes are counted, the task whose run is lost in the restart runs alone on the only executor, so the later start that the test waited for did not come. The test now restarts an executor whose run has ended. Measured: it fails without the check of the order's process in find_answered and passes with it; the assertions are as they were.

--- a/tests/unit/restart_clock.cpp
+++ b/tests/unit/restart_clock.cpp
@@ -27,8 +27,8 @@
         fleet_owner owner{fleet};
         owner.start(1);
         executor_id const id{1};
-        owner.submit(1, 1, milliseconds{400});
-        fleet.run_for(milliseconds{20});
+        owner.submit(1, 1, milliseconds{60});
+        fleet.run_for(milliseconds{100});
         auto const earlier = owner.start_orders.back();
         fleet.restart(id);
         owner.list(id);
