--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -123,6 +123,10 @@
                 {
                     verdicts[report.verdict.job] = report.verdict;
                     ended_at[report.verdict.job] = fleet_.now();
+                    if (verdict_receiver)
+                    {
+                        verdict_receiver(report);
+                    }
                 },
                 [](scheduler_log_event const&)
                 {
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -4,6 +4,7 @@
 
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -41,6 +42,8 @@
     core::job_scheduler scheduler;
     std::map<core::client_job_id, core::job_verdict> verdicts;
     std::map<core::client_job_id, core::time_point> ended_at;
+    /// Also receives each verdict, if set.
+    std::function<void(core::report_verdict const&)> verdict_receiver;
 
     /// @brief Executes the actions that the scheduler asks for.
     void apply(std::vector<core::scheduler_action> const& actions);
