Keep a job in the failure domain where it may be running

Cause: job_gateway took each not_owner verdict as a release. After several offers it answers the last one only; an earlier owner may have accepted the job and started it. The gateway dropped the failure domain with the owner and offered the job to any other owner. A job is now bound to a failure domain from its offer on; not_owner releases it only if it answers the only offer. Otherwise the job waits for a further owner there and is then answered as abandoned. A term that has refused gets no second offer.

Ruled out: the schedulers.

--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -50,9 +50,13 @@
 /// owners of executors.
 ///
 /// A job is offered to the owner in this instance's failure domain unless the
-/// expected wait is shorter in another one. After the loss of an owner, the job
-/// is offered to the successor under the same id, and the successor adopts the
-/// runs that exist.
+/// expected wait is shorter in another one. An offer binds the job to the
+/// failure domain, as only the owner of the executors there can learn of its
+/// runs. The job leaves the failure domain only after a verdict by which
+/// nothing of it has started and nothing of it will. After the loss of an
+/// owner, the job is offered to the successor under the same id, and the
+/// successor adopts the runs that exist. Without a successor in time, its fate
+/// is unknown.
 ///
 /// @par Thread safety
 /// Not safe; the owner of the object serializes calls.
@@ -112,11 +116,14 @@
         std::optional<time_point> without_owner_since;
         /// Whether an earlier owner may have started tasks.
         bool resumed = false;
+        /// Whether the owner has answered that its term has ended.
+        bool refused = false;
         std::vector<domain_id> declined;
     };
 
     void offer_to_owner(open_job& open, std::span<owner_view const> owners,
                         time_point now, std::vector<gateway_action>& out);
+    static void owner_refused(open_job& open, time_point now);
     void update_owner(open_job& open, std::span<owner_view const> owners,
                       time_point now, std::vector<gateway_action>& out);
     [[nodiscard]] std::optional<owner_view>
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -38,7 +38,8 @@
     rejected,
     /// Tasks may have started; the job was abandoned.
     abandoned,
-    /// The receiver of the offer owns no executors; it started nothing.
+    /// The receiver of the offer owns no executors. It starts nothing for this
+    /// offer; it may have accepted an earlier offer of the job.
     not_owner
 };
 
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -152,8 +152,7 @@
     auto& open = found->second;
     if (received.outcome == job_outcome::not_owner)
     {
-        open.owner.reset();
-        open.without_owner_since = now;
+        owner_refused(open, now);
         return;
     }
     if (received.outcome != job_outcome::rejected)
@@ -177,6 +176,24 @@
            "overloaded", now, out);
 }
 
+// The answer to the only offer of a job shows that nothing has started. After
+// several offers, an earlier one may have been accepted, so the job stays bound
+// to the failure domain.
+void job_gateway::owner_refused(open_job& open, time_point now)
+{
+    if (!open.resumed)
+    {
+        open.owner.reset();
+        open.without_owner_since = now;
+        return;
+    }
+    open.refused = true;
+    if (!open.without_owner_since)
+    {
+        open.without_owner_since = now;
+    }
+}
+
 // A job stays in the failure domain where it was first offered, because only
 // the successor of a lost owner can learn which runs exist.
 void job_gateway::update_owner(open_job& open,
@@ -190,7 +207,14 @@
     }
     auto const current =
         std::ranges::find(owners, open.owner->domain, &owner_view::domain);
-    if (current == owners.end())
+    bool const same_term = current != owners.end() &&
+                           current->instance == open.owner->instance &&
+                           current->term == open.owner->term;
+    // The heartbeat that shows the end of the term may arrive after the
+    // refusal.
+    bool const has_owner =
+        current != owners.end() && !(same_term && open.refused);
+    if (!has_owner)
     {
         open.resumed = true;
         if (!open.without_owner_since)
@@ -199,16 +223,14 @@
         }
         return;
     }
-    bool const unchanged = !open.without_owner_since &&
-                           current->instance == open.owner->instance &&
-                           current->term == open.owner->term;
-    if (unchanged)
+    if (same_term && !open.without_owner_since)
     {
         return;
     }
     open.resumed = true;
     open.without_owner_since.reset();
     open.owner = *current;
+    open.refused = false;
     out.emplace_back(
         send_offer{current->instance, {open.job, now - open.arrived, true}});
 }
