Adopt runs of later groups of a job after a change of the owner

A task of a group that depends on another one could run twice at the same time after a change of the owner: the successor knew the run, but took its task for blocked, as it had not seen the groups before it end. It did not adopt the run, started the earlier groups again, and then the task, within the 400 ms after which the unknown run would have been stopped.

A run shows that all groups before its own are done, so the successor marks them as done and adopts the run. Ruled out: an incomplete claim; all executors were claimed before the second start. unit.inherited_runs (run_of_a_later_group_is_not_started_beside_itself) had one start beside a run before and has none now.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -372,6 +372,10 @@
                              scheduler_context& context);
     void reconcile_runs(executor_record& executor, poll_answer const& answer,
                         time_point sent_at, scheduler_context& context);
+    /// Unblocks the tasks of the groups whose preceding groups are done.
+    static void unblock_groups(job_record& job);
+    /// Marks the tasks of the groups before a group as done.
+    static void complete_preceding_groups(job_record& job, std::uint16_t group);
     void adopt_runs(job_record& job, scheduler_context& context);
     /// Makes the job responsible for a run that an earlier owner or an earlier
     /// submission of the job started.
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -44,33 +44,6 @@
     ++group.waiting;
 }
 
-/// Unblocks the tasks of the groups whose preceding groups are done.
-void unblock_groups(job_record& job)
-{
-    for (std::size_t i = 0; i < job.groups.size(); ++i)
-    {
-        auto const& needed = job.job.groups[i].after;
-        bool const open =
-            std::ranges::all_of(needed,
-                                [&job](std::uint16_t earlier)
-                                {
-                                    return job.groups[earlier].done ==
-                                           job.groups[earlier].tasks.size();
-                                });
-        if (!open)
-        {
-            continue;
-        }
-        for (auto& task : job.groups[i].tasks)
-        {
-            if (task.phase == task_phase::blocked)
-            {
-                make_waiting(job.groups[i], task);
-            }
-        }
-    }
-}
-
 bool is_complete(job_record const& job)
 {
     return std::ranges::all_of(job.groups,
@@ -98,6 +71,32 @@
 
 } // namespace
 
+void scheduler_state::unblock_groups(job_record& job)
+{
+    for (std::size_t i = 0; i < job.groups.size(); ++i)
+    {
+        auto const& needed = job.job.groups[i].after;
+        bool const open =
+            std::ranges::all_of(needed,
+                                [&job](std::uint16_t earlier)
+                                {
+                                    return job.groups[earlier].done ==
+                                           job.groups[earlier].tasks.size();
+                                });
+        if (!open)
+        {
+            continue;
+        }
+        for (auto& task : job.groups[i].tasks)
+        {
+            if (task.phase == task_phase::blocked)
+            {
+                make_waiting(job.groups[i], task);
+            }
+        }
+    }
+}
+
 void scheduler_state::offer(instance_id origin, job_offer const& offered,
                             scheduler_context& context)
 {
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -240,6 +240,10 @@
     }
     auto& group = job.groups[task.group];
     auto& entry = group.tasks[task.index];
+    if (entry.phase == task_phase::blocked)
+    {
+        complete_preceding_groups(job, task.group);
+    }
     if (entry.phase != task_phase::waiting)
     {
         return;
--- /dev/null
+++ b/tests/unit/inherited_runs.cpp
@@ -0,0 +1,80 @@
+#include "support/fleet_owner.hpp"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace goldcrestgate;
+using namespace goldcrestgate::core;
+using std::chrono::milliseconds;
+using tests::executor_fleet;
+using tests::fleet_owner;
+
+constexpr client_job_id job_id{1};
+constexpr std::uint64_t first_token = 1;
+constexpr std::uint64_t second_token = 2;
+
+// Guards against a second start of tasks whose runs an earlier owner of the
+// executors started.
+class inherited_runs_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(inherited_runs_test);
+    CPPUNIT_TEST(run_of_a_later_group_is_not_started_beside_itself);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void run_of_a_later_group_is_not_started_beside_itself()
+    {
+        auto job = tests::make_leased_job(job_id.value(), 1, milliseconds{50});
+        job.groups.push_back(job.groups.front());
+        job.groups.back().after = {0};
+        fleet_.set_work(leased_task{job_id, 0, 0}, milliseconds{50});
+        fleet_.set_work(leased_task{job_id, 1, 0}, milliseconds{400});
+        first_.start(first_token);
+        first_.offer(job);
+        fleet_.run_for(milliseconds{120});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet_.starts(job_id));
+        replace_owner();
+        second_.offer(job, true);
+        fleet_.run_for(milliseconds{1500});
+        check_completed(2);
+    }
+
+private:
+    /// Starts a job of two tasks and runs it for 100 ms.
+    leased_job start_job(duration work)
+    {
+        first_.start(first_token);
+        auto job = first_.submit(job_id.value(), 2, work);
+        fleet_.run_for(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet_.running(job_id));
+        return job;
+    }
+
+    void replace_owner()
+    {
+        first_.kill();
+        second_.list_all();
+        second_.take_over(second_token, true);
+        fleet_.run_for(milliseconds{10});
+    }
+
+    void check_completed(std::size_t starts) const
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.duplicate_runs);
+        CPPUNIT_ASSERT_EQUAL(starts, fleet_.starts(job_id));
+        CPPUNIT_ASSERT(second_.verdicts.contains(job_id));
+        CPPUNIT_ASSERT(second_.verdicts.at(job_id).outcome ==
+                       job_outcome::completed);
+    }
+
+    executor_fleet fleet_{4};
+    fleet_owner first_{fleet_};
+    fleet_owner second_{fleet_};
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(inherited_runs_test, "inherited_runs");
+
+} // namespace
