Keep the ends of runs that an earlier owner started

A task that had ended done under an earlier owner was started once more by the successor, without a trace in the log, even if the executor still listed the end: the successor dropped ends of runs that it did not know, and ends of runs whose job had not been offered again yet.

It now records such ends for 4 s. When the job is offered, they count as done (log line end_adopted). Ends that the earlier owner has acknowledged are forgotten by the executor, so such a task may run again; the platform allows that for a job whose caller waits, and only two runs at the same time are excluded. unit.inherited_runs shows both: two starts in place of four for a job whose ends were listed, and no second run at the same time otherwise. A run that failed is still repeated.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -254,6 +254,9 @@
     std::map<executor_id, executor_record> executors;
     std::unordered_map<client_job_id, job_record> jobs;
     std::unordered_map<client_job_id, retained_verdict> retained_verdicts;
+    /// Tasks that ended `done` without a known job, and when they are
+    /// forgotten.
+    std::map<leased_task, time_point> done_tasks;
     speed_model speeds;
 
     // jobs
@@ -372,6 +375,12 @@
                              scheduler_context& context);
     void reconcile_runs(executor_record& executor, poll_answer const& answer,
                         time_point sent_at, scheduler_context& context);
+    /// Records a task that ended `done` under an earlier owner or an earlier
+    /// submission of its job.
+    void note_done_task(leased_task const& task, scheduler_context& context);
+    /// Marks the waiting tasks of a job that are recorded as done.
+    void complete_done_tasks(job_record& job, scheduler_context& context);
+    [[nodiscard]] static bool is_complete(job_record const& job);
     /// Unblocks the tasks of the groups whose preceding groups are done.
     static void unblock_groups(job_record& job);
     /// Marks the tasks of the groups before a group as done.
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -67,6 +67,7 @@
     state_.fenced = false;
     state_.jobs.clear();
     state_.retained_verdicts.clear();
+    state_.done_tasks.clear();
     for (auto& [id, executor] : state_.executors)
     {
         executor.claimed = false;
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -5,6 +5,62 @@
 namespace goldcrestgate::core::detail
 {
 
+namespace
+{
+
+/// Time for which the end of a run is kept until its job is offered. The
+/// instances offer it again within one or two heartbeats.
+constexpr duration done_task_retention = std::chrono::seconds{4};
+
+} // namespace
+
+void scheduler_state::note_done_task(leased_task const& task,
+                                     scheduler_context& context)
+{
+    done_tasks[task] = context.now + done_task_retention;
+    auto const found = jobs.find(task.job);
+    if (found == jobs.end())
+    {
+        return;
+    }
+    complete_done_tasks(found->second, context);
+    if (is_complete(found->second))
+    {
+        end_job(task.job, job_outcome::completed, {}, "completed", context);
+    }
+}
+
+void scheduler_state::complete_done_tasks(job_record& job,
+                                          scheduler_context& context)
+{
+    auto const first = done_tasks.lower_bound(leased_task{job.job.id, 0, 0});
+    for (auto noted = first;
+         noted != done_tasks.end() && noted->first.job == job.job.id; ++noted)
+    {
+        auto const& task = noted->first;
+        if (!has_task(job, task))
+        {
+            continue;
+        }
+        complete_preceding_groups(job, task.group);
+        auto& group = job.groups[task.group];
+        auto& entry = group.tasks[task.index];
+        if (entry.phase != task_phase::waiting)
+        {
+            continue;
+        }
+        entry.phase = task_phase::done;
+        --group.waiting;
+        ++group.done;
+        job.inherited = true;
+        scheduler_log_event log_event{.event = "end_adopted",
+                                      .job = job.job.id,
+                                      .run = task_run{task, 0}};
+        context.out.emplace_back(log_event);
+    }
+    unblock_groups(job);
+}
+
 // A task starts only after all groups before its own are done, so a run of an
 // earlier owner shows that they are.
 void scheduler_state::complete_preceding_groups(job_record& job,
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -44,15 +44,6 @@
     ++group.waiting;
 }
 
-bool is_complete(job_record const& job)
-{
-    return std::ranges::all_of(job.groups,
-                               [](group_record const& group)
-                               {
-                                   return group.done == group.tasks.size();
-                               });
-}
-
 /// Returns whether a waiting task would miss the deadline even on the fastest
 /// executor at its best-case run time.
 bool cannot_meet_deadline(job_record const& job, double fastest, time_point now)
@@ -97,6 +88,15 @@
     }
 }
 
+bool scheduler_state::is_complete(job_record const& job)
+{
+    return std::ranges::all_of(job.groups,
+                               [](group_record const& group)
+                               {
+                                   return group.done == group.tasks.size();
+                               });
+}
+
 void scheduler_state::offer(instance_id origin, job_offer const& offered,
                             scheduler_context& context)
 {
@@ -137,6 +137,11 @@
 
     auto const verdict = evaluate_admission(job, context.now);
     auto& stored = jobs.emplace(id, std::move(job)).first->second;
+    if (is_complete(stored))
+    {
+        end_job(id, job_outcome::completed, {}, "completed", context);
+        return;
+    }
     if (suspended && !stored.started())
     {
         end_job(id, job_outcome::rejected, rejection_retry_delay, "evacuated",
@@ -252,6 +257,10 @@
         {
             executor.health.record_failure(context.now);
         }
+        if (end == run_end::done)
+        {
+            note_done_task(run.run.task, context);
+        }
         return;
     }
     auto& job = found->second;
@@ -323,6 +332,11 @@
                   {
                       return entry.second.expires_at <= context.now;
                   });
+    std::erase_if(done_tasks,
+                  [&context](auto const& entry)
+                  {
+                      return entry.second <= context.now;
+                  });
     auto ranges = slowdowns(context.now);
     bool const all_claimed = claims_complete(context.now);
     std::vector<std::pair<client_job_id, std::string_view>> ended;
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -228,6 +228,7 @@
             }
         }
     }
+    complete_done_tasks(job, context);
 }
 
 void scheduler_state::adopt_run(job_record& job, executor_record& executor,
@@ -284,6 +285,10 @@
         auto const* const run = find_run(executor, finished.run);
         if (run == nullptr)
         {
+            if (finished.end == run_end::done)
+            {
+                note_done_task(finished.run.task, context);
+            }
             continue;
         }
         auto const record = *run;
--- a/tests/unit/inherited_runs.cpp
+++ b/tests/unit/inherited_runs.cpp
@@ -22,6 +22,10 @@
 {
     CPPUNIT_TEST_SUITE(inherited_runs_test);
     CPPUNIT_TEST(run_of_a_later_group_is_not_started_beside_itself);
+    CPPUNIT_TEST(run_that_ended_without_an_owner_is_not_repeated);
+    CPPUNIT_TEST(run_that_ended_before_its_job_came_is_not_repeated);
+    CPPUNIT_TEST(failed_run_of_a_lost_owner_is_repeated);
+    CPPUNIT_TEST(acknowledged_run_may_be_repeated_but_not_at_the_same_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +46,67 @@
         check_completed(2);
     }
 
+    void run_that_ended_without_an_owner_is_not_repeated()
+    {
+        auto const job = start_job(milliseconds{200});
+        first_.kill();
+        fleet_.run_for(milliseconds{200});
+        second_.list_all();
+        second_.take_over(second_token, true);
+        second_.offer(job, true);
+        fleet_.run_for(milliseconds{1000});
+        check_completed(2);
+    }
+
+    void run_that_ended_before_its_job_came_is_not_repeated()
+    {
+        auto const job = start_job(milliseconds{200});
+        replace_owner();
+        fleet_.run_for(milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.running(job_id));
+        second_.offer(job, true);
+        fleet_.run_for(milliseconds{1000});
+        check_completed(2);
+    }
+
+    void failed_run_of_a_lost_owner_is_repeated()
+    {
+        for (auto const id : fleet_.ids())
+        {
+            fleet_.behaviour(id).fails_tasks = true;
+        }
+        auto const job = start_job(milliseconds{200});
+        first_.kill();
+        fleet_.run_for(milliseconds{200});
+        for (auto const id : fleet_.ids())
+        {
+            fleet_.behaviour(id).fails_tasks = false;
+        }
+        second_.list_all();
+        second_.take_over(second_token, true);
+        second_.offer(job, true);
+        fleet_.run_for(milliseconds{1000});
+        check_completed(4);
+    }
+
+    // An executor forgets the ends that its owner has acknowledged. A job whose
+    // caller waits may run again from the start, but no task twice at a time.
+    void acknowledged_run_may_be_repeated_but_not_at_the_same_time()
+    {
+        fleet_.set_work(leased_task{job_id, 0, 0}, milliseconds{50});
+        fleet_.set_work(leased_task{job_id, 0, 1}, milliseconds{400});
+        auto const job =
+            tests::make_leased_job(job_id.value(), 2, milliseconds{200});
+        first_.start(first_token);
+        first_.offer(job);
+        fleet_.run_for(milliseconds{150});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet_.running(job_id));
+        replace_owner();
+        second_.offer(job, true);
+        fleet_.run_for(milliseconds{1000});
+        check_completed(3);
+    }
+
 private:
     /// Starts a job of two tasks and runs it for 100 ms.
     leased_job start_job(duration work)
