Wait for the claims when a known job turns out to be resumed

A successor could start a task beside its run on an executor that it had not claimed yet, if the job reached it twice: first from an instance that had never offered it, then as resumed from the instance whose earlier owner was lost. The second offer only changed the origin of the known job, so it did not wait for the claims.

A resumed offer of a known job now marks it as inherited and delays its starts like that of a new one. unit.inherited_runs (known_job_that_is_resumed_waits_for_the_claims) had two starts beside a run before and has none now.

--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -112,6 +112,11 @@
         known->second.origin = origin;
         known->second.cancel_at.reset();
         known->second.origin_lost = false;
+        if (offered.resumed && !known->second.inherited)
+        {
+            known->second.inherited = true;
+            known->second.awaits_claims = !claims_complete(context.now);
+        }
         return;
     }
     if (auto const ended = retained_verdicts.find(id);
--- a/tests/unit/inherited_runs.cpp
+++ b/tests/unit/inherited_runs.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(run_that_ended_before_its_job_came_is_not_repeated);
     CPPUNIT_TEST(failed_run_of_a_lost_owner_is_repeated);
     CPPUNIT_TEST(acknowledged_run_may_be_repeated_but_not_at_the_same_time);
+    CPPUNIT_TEST(known_job_that_is_resumed_waits_for_the_claims);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +108,29 @@
         check_completed(3);
     }
 
+    // Guards against a second run of a task whose run is on an executor that
+    // the successor has not claimed yet, when a resubmission of the job arrives
+    // before the offer that names it as resumed.
+    void known_job_that_is_resumed_waits_for_the_claims()
+    {
+        auto const job = start_job(milliseconds{900});
+        first_.kill();
+        second_.list_all();
+        for (auto const id : fleet_.ids())
+        {
+            fleet_.behaviour(id).unreachable = true;
+        }
+        second_.take_over(second_token, true);
+        second_.offer(job, false, instance_id{2});
+        second_.offer(job, true, instance_id{1});
+        for (auto const id : fleet_.ids())
+        {
+            fleet_.behaviour(id).unreachable = fleet_.running(job_id, id) != 0;
+        }
+        fleet_.run_for(milliseconds{1800});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.duplicate_runs);
+    }
+
 private:
     /// Starts a job of two tasks and runs it for 100 ms.
     leased_job start_job(duration work)
