Wait for the runs of an earlier owner that is alive

Cause: an owner took the runs on executors that it had not claimed for expired 1.1 s after its own claim. A job that may have been accepted elsewhere now waits until all executors of the last roster are claimed, or for the resubmission delay from its offer on, and the gateway withdraws it from the earlier owner, which then starts nothing and stops its runs before that.

A new connection to the same owner in the same term is no move, which the offer now tells (wire: JobOffer.only_offered_here, optional, false by default), so such jobs are not delayed.

unit.inherited_runs (late_list_of_executors_hides_no_run_of_a_living_owner) had two starts beside runs before.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -169,6 +169,9 @@
     /// Whether runs of an earlier owner may exist on executors that are not
     /// claimed yet.
     bool awaits_claims = false;
+    /// Time at which the runs on executors that are not claimed have ended,
+    /// also if an earlier owner is alive.
+    time_point unknown_runs_end{};
     /// Set when the caller has disconnected or its instance is lost; the job's
     /// runs are stopped at this time.
     std::optional<time_point> cancel_at;
@@ -375,6 +378,9 @@
                              scheduler_context& context);
     void reconcile_runs(executor_record& executor, poll_answer const& answer,
                         time_point sent_at, scheduler_context& context);
+    /// Delays the starts of a job that an earlier owner may have started until
+    /// its runs are known.
+    void await_claims(job_record& job, time_point now) const;
     /// Records a task that ended `done` under an earlier owner or an earlier
     /// submission of its job.
     void note_done_task(leased_task const& task, scheduler_context& context);
@@ -418,6 +424,8 @@
                                             time_point now) const;
     void tick(scheduler_context& context);
     [[nodiscard]] bool claims_complete(time_point now) const;
+    /// Whether no executor can have a run that is not listed here.
+    [[nodiscard]] bool all_runs_known() const;
     [[nodiscard]] duration lease_expiry_time() const;
     [[nodiscard]] bool accepts(executor_record const& executor,
                                time_point now) const;
--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -116,6 +116,9 @@
         std::optional<time_point> without_owner_since;
         /// Whether an earlier owner may have started tasks.
         bool resumed = false;
+        /// Whether an owner or a term before the current one may have accepted
+        /// the job.
+        bool moved = false;
         /// Whether the owner has answered that its term has ended.
         bool refused = false;
         std::vector<domain_id> declined;
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -20,6 +20,9 @@
     duration elapsed{};
     /// Whether an earlier owner may have started tasks of the job.
     bool resumed = false;
+    /// Whether no other owner, and no earlier term of the receiver, can have
+    /// accepted the job.
+    bool only_offered_here = false;
 };
 
 /// @brief Reports that the caller of a job has disconnected and needs no
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -2289,7 +2289,8 @@
     VT_OBJECTIVE_US = 16,
     VT_TIME_LIMIT_US = 18,
     VT_ELAPSED_US = 20,
-    VT_RESUMED = 22
+    VT_RESUMED = 22,
+    VT_ONLY_OFFERED_HERE = 24
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2321,6 +2322,9 @@
   bool resumed() const {
     return GetField<uint8_t>(VT_RESUMED, 0) != 0;
   }
+  bool only_offered_here() const {
+    return GetField<uint8_t>(VT_ONLY_OFFERED_HERE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
@@ -2337,6 +2341,7 @@
            VerifyField<int64_t>(verifier, VT_TIME_LIMIT_US, 8) &&
            VerifyField<int64_t>(verifier, VT_ELAPSED_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_RESUMED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ONLY_OFFERED_HERE, 1) &&
            verifier.EndTable();
   }
 };
@@ -2375,6 +2380,9 @@
   void add_resumed(bool resumed) {
     fbb_.AddElement<uint8_t>(JobOffer::VT_RESUMED, static_cast<uint8_t>(resumed), 0);
   }
+  void add_only_offered_here(bool only_offered_here) {
+    fbb_.AddElement<uint8_t>(JobOffer::VT_ONLY_OFFERED_HERE, static_cast<uint8_t>(only_offered_here), 0);
+  }
   explicit JobOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2400,7 +2408,8 @@
     int64_t objective_us = 0,
     int64_t time_limit_us = 0,
     int64_t elapsed_us = 0,
-    bool resumed = false) {
+    bool resumed = false,
+    bool only_offered_here = false) {
   JobOfferBuilder builder_(_fbb);
   builder_.add_elapsed_us(elapsed_us);
   builder_.add_time_limit_us(time_limit_us);
@@ -2410,6 +2419,7 @@
   builder_.add_payload(payload);
   builder_.add_service(service);
   builder_.add_max_attempts(max_attempts);
+  builder_.add_only_offered_here(only_offered_here);
   builder_.add_resumed(resumed);
   builder_.add_priority(priority);
   return builder_.Finish();
@@ -2431,7 +2441,8 @@
     int64_t objective_us = 0,
     int64_t time_limit_us = 0,
     int64_t elapsed_us = 0,
-    bool resumed = false) {
+    bool resumed = false,
+    bool only_offered_here = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto payload__ = payload ? _fbb.CreateString(payload) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>(*groups) : 0;
@@ -2446,7 +2457,8 @@
       objective_us,
       time_limit_us,
       elapsed_us,
-      resumed);
+      resumed,
+      only_offered_here);
 }
 
 struct JobWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -227,12 +227,17 @@
     {
         return;
     }
+    if (current->instance != open.owner->instance)
+    {
+        out.emplace_back(send_withdrawal{open.owner->instance, {open.job.id}});
+    }
     open.resumed = true;
+    open.moved = open.moved || !same_term;
     open.without_owner_since.reset();
     open.owner = *current;
     open.refused = false;
-    out.emplace_back(
-        send_offer{current->instance, {open.job, now - open.arrived, true}});
+    out.emplace_back(send_offer{
+        current->instance, {open.job, now - open.arrived, true, !open.moved}});
 }
 
 void job_gateway::tick(std::span<owner_view const> owners, time_point now,
@@ -288,8 +293,8 @@
         if (open.owner && open.owner->instance == owner)
         {
             open.resumed = true;
-            out.emplace_back(
-                send_offer{owner, {open.job, now - open.arrived, true}});
+            out.emplace_back(send_offer{
+                owner, {open.job, now - open.arrived, true, !open.moved}});
         }
     }
 }
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -14,6 +14,16 @@
 
 } // namespace
 
+// An earlier owner that lives stops its runs of the job as soon as for a
+// resubmission, because the gateway has withdrawn the job there.
+void scheduler_state::await_claims(job_record& job, time_point now) const
+{
+    job.inherited = true;
+    job.awaits_claims = !all_runs_known();
+    job.unknown_runs_end =
+        now + std::max(limits.resubmission_delay, lease_expiry_time());
+}
+
 void scheduler_state::note_done_task(leased_task const& task,
                                      scheduler_context& context)
 {
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -107,15 +107,16 @@
             report_verdict{origin, {id, job_outcome::not_owner, {}}});
         return;
     }
+    bool const may_run_elsewhere =
+        offered.resumed && !offered.only_offered_here;
     if (auto const known = jobs.find(id); known != jobs.end())
     {
         known->second.origin = origin;
         known->second.cancel_at.reset();
         known->second.origin_lost = false;
-        if (offered.resumed && !known->second.inherited)
+        if (may_run_elsewhere && !known->second.inherited)
         {
-            known->second.inherited = true;
-            known->second.awaits_claims = !claims_complete(context.now);
+            await_claims(known->second, context.now);
         }
         return;
     }
@@ -132,7 +133,10 @@
     job.deadline = context.now - offered.elapsed + offered.job.time_limit;
     job.critical_path_time = critical_path(offered.job.groups);
     job.inherited = offered.resumed;
-    job.awaits_claims = offered.resumed && !claims_complete(context.now);
+    if (may_run_elsewhere)
+    {
+        await_claims(job, context.now);
+    }
     for (auto const& group : offered.job.groups)
     {
         job.groups.emplace_back().tasks.resize(group.task_count);
@@ -343,11 +347,13 @@
                       return entry.second <= context.now;
                   });
     auto ranges = slowdowns(context.now);
-    bool const all_claimed = claims_complete(context.now);
+    bool const runs_known = all_runs_known();
     std::vector<std::pair<client_job_id, std::string_view>> ended;
     for (auto& [id, job] : jobs)
     {
-        if (job.awaits_claims && all_claimed)
+        bool const claims_awaited =
+            !runs_known && context.now < job.unknown_runs_end;
+        if (job.awaits_claims && !claims_awaited)
         {
             job.awaits_claims = false;
             adopt_runs(job, context);
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -51,12 +51,16 @@
 
 bool scheduler_state::claims_complete(time_point now) const
 {
-    return now >= owner_since + lease_expiry_time() ||
-           (roster_known && std::ranges::all_of(executors,
-                                                [](auto const& entry)
-                                                {
-                                                    return entry.second.claimed;
-                                                }));
+    return now >= owner_since + lease_expiry_time() || all_runs_known();
+}
+
+bool scheduler_state::all_runs_known() const
+{
+    return roster_known && std::ranges::all_of(executors,
+                                               [](auto const& entry)
+                                               {
+                                                   return entry.second.claimed;
+                                               });
 }
 
 void scheduler_state::send_poll(executor_record& executor,
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -276,7 +276,7 @@
 
 encoded_message encode(builder& out, core::job_offer const& message)
 {
-    auto const& [job, elapsed, resumed] = message;
+    auto const& [job, elapsed, resumed, only_offered_here] = message;
     auto const service = out.CreateString(job.service);
     auto const payload = out.CreateString(job.payload);
     std::vector<fb::Offset<detail::TaskGroup>> groups;
@@ -287,10 +287,11 @@
     }
     auto const group_list = out.CreateVector(groups);
     return {detail::Message::JobOffer,
-            detail::CreateJobOffer(
-                out, job.id.value(), service, payload, group_list,
-                job.max_attempts, job.priority, job.objective.count(),
-                job.time_limit.count(), elapsed.count(), resumed)
+            detail::CreateJobOffer(out, job.id.value(), service, payload,
+                                   group_list, job.max_attempts, job.priority,
+                                   job.objective.count(),
+                                   job.time_limit.count(), elapsed.count(),
+                                   resumed, only_offered_here)
                 .Union()};
 }
 
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -72,6 +72,7 @@
     job.time_limit = core::duration{source.time_limit_us()};
     message.elapsed = core::duration{source.elapsed_us()};
     message.resumed = source.resumed();
+    message.only_offered_here = source.only_offered_here();
     return message;
 }
 
--- a/tests/unit/failure_domain_binding.cpp
+++ b/tests/unit/failure_domain_binding.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(job_without_a_successor_is_answered_as_abandoned);
     CPPUNIT_TEST(job_that_no_owner_accepted_may_go_elsewhere);
     CPPUNIT_TEST(ended_term_gets_no_second_offer);
+    CPPUNIT_TEST(job_that_moves_is_withdrawn_from_the_earlier_owner);
+    CPPUNIT_TEST(offer_tells_whether_the_job_has_moved);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +111,36 @@
         CPPUNIT_ASSERT(last<send_offer>().offer.resumed);
     }
 
+    // Guards against an earlier owner that lives and starts further tasks of
+    // the job.
+    void job_that_moves_is_withdrawn_from_the_earlier_owner()
+    {
+        submit({owner(1, 11)});
+        out_.clear();
+        tick({owner(1, 12, 2)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, out_.size());
+        auto const* const withdrawn = std::get_if<send_withdrawal>(&out_[0]);
+        CPPUNIT_ASSERT(withdrawn != nullptr);
+        CPPUNIT_ASSERT(withdrawn->owner == instance_id{11});
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{12});
+        out_.clear();
+        tick({owner(1, 12, 3)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, out_.size());
+    }
+
+    // Guards against jobs that wait for the end of unknown runs although only
+    // the connection to their owner was made anew.
+    void offer_tells_whether_the_job_has_moved()
+    {
+        submit({owner(1, 11)});
+        gateway_.owner_reconnected(instance_id{11}, now_, out_);
+        CPPUNIT_ASSERT(last<send_offer>().offer.only_offered_here);
+        tick({owner(1, 11, 2)});
+        CPPUNIT_ASSERT(!last<send_offer>().offer.only_offered_here);
+        gateway_.owner_reconnected(instance_id{11}, now_, out_);
+        CPPUNIT_ASSERT(!last<send_offer>().offer.only_offered_here);
+    }
+
 private:
     /// Instance 11 accepts the job and loses ownership to instance 12, which
     /// loses it before the offer arrives.
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -59,7 +59,7 @@
     job.priority = 5;
     job.objective = milliseconds{156};
     job.time_limit = milliseconds{1500};
-    return {job, milliseconds{7}, true};
+    return {job, milliseconds{7}, true, true};
 }
 
 /// Returns messages of all types. Apart from a slot message without a need, no
--- a/tests/unit/inherited_runs.cpp
+++ b/tests/unit/inherited_runs.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(failed_run_of_a_lost_owner_is_repeated);
     CPPUNIT_TEST(acknowledged_run_may_be_repeated_but_not_at_the_same_time);
     CPPUNIT_TEST(known_job_that_is_resumed_waits_for_the_claims);
+    CPPUNIT_TEST(late_list_of_executors_hides_no_run_of_a_living_owner);
+    CPPUNIT_TEST(job_that_did_not_move_is_not_delayed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +133,48 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.duplicate_runs);
     }
 
+    // Guards against an owner that takes all runs for known or expired some
+    // time after its claim, although it learns of executors later and an
+    // earlier owner renews the leases there.
+    void late_list_of_executors_hides_no_run_of_a_living_owner()
+    {
+        first_.start(first_token);
+        second_.take_over(second_token, false);
+        fleet_.run_for(milliseconds{2000});
+        auto const job = first_.submit(job_id.value(), 2, milliseconds{600});
+        fleet_.run_for(milliseconds{50});
+        second_.offer(job, true);
+        for (auto const id : fleet_.ids())
+        {
+            if (fleet_.running(job_id, id) == 0)
+            {
+                second_.list(id);
+            }
+        }
+        fleet_.run_for(milliseconds{150});
+        second_.list_all();
+        fleet_.run_for(milliseconds{1000});
+        check_completed(2);
+    }
+
+    // Guards against a delay of all jobs of an instance that has only connected
+    // again to an owner which claimed without a roster.
+    void job_that_did_not_move_is_not_delayed()
+    {
+        first_.list_all();
+        first_.take_over(first_token, false);
+        fleet_.run_for(milliseconds{150});
+        auto const job =
+            tests::make_leased_job(job_id.value(), 2, milliseconds{200});
+        fleet_.set_work(job_id, milliseconds{200});
+        std::vector<scheduler_action> out;
+        first_.scheduler.offer(instance_id{1}, {job, {}, true, true},
+                               fleet_.now(), out);
+        first_.apply(out);
+        fleet_.run_for(milliseconds{20});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet_.running(job_id));
+    }
+
 private:
     /// Starts a job of two tasks and runs it for 100 ms.
     leased_job start_job(duration work)
