--- a/tests/support/domain_cluster.hpp
+++ b/tests/support/domain_cluster.hpp
@@ -34,6 +34,10 @@
     {
         return fleet_;
     }
+    [[nodiscard]] executor_fleet const& fleet() const
+    {
+        return fleet_;
+    }
     /// @brief Returns the number of instances; they are numbered by failure
     /// domain.
     [[nodiscard]] std::size_t size() const
