Ask the executors before a minority claims ownership

An instance that has not heard from the owner for 250 ms polls up to 16 executors, spread over racks, with the owner's token, which changes nothing there. A run that was not listed before shows a living owner. An instance that hears from at most half of its failure domain then does not claim; nor does it without any executor, nor for 3 s after its token was refused. The majority claims as before, also from an owner that is cut off. The log tells the reason of each claim (ownership_claimed: owner_silent, no_owner, invited).

An answer to an order of an earlier term no longer counts as a claim.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/core/leasing/executor_health.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
+#include "goldcrestgate/core/leasing/owner_probe.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
 #include "goldcrestgate/core/leasing/scheduler_actions.hpp"
 #include "goldcrestgate/core/leasing/serving_order.hpp"
@@ -254,6 +255,10 @@
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
     std::uint64_t last_order = 0;
+    /// Last order before the current term.
+    std::uint64_t last_earlier_order = 0;
+    owner_probe probe;
+    std::optional<time_point> probed_at;
     std::map<executor_id, executor_record> executors;
     std::unordered_map<client_job_id, job_record> jobs;
     std::unordered_map<client_job_id, retained_verdict> retained_verdicts;
@@ -362,6 +367,8 @@
     [[nodiscard]] order_id next_order();
 
     // leases
+    /// Polls a sample of the executors with the token of a silent owner.
+    void probe_owner(fencing_token silent_token, scheduler_context& context);
     void send_poll(executor_record& executor, scheduler_context& context);
     void poll_answered(poll_answer const& answer, scheduler_context& context);
     void poll_failed(executor_record& executor, order_outcome outcome,
--- a/include/goldcrestgate/core/leasing/domain_ownership.hpp
+++ b/include/goldcrestgate/core/leasing/domain_ownership.hpp
@@ -3,9 +3,11 @@
 #include "goldcrestgate/core/leasing/executor.hpp"
 #include "goldcrestgate/core/leasing/heartbeat_plan.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
+#include "goldcrestgate/core/leasing/owner_probe.hpp"
 
 #include <map>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -27,6 +29,8 @@
 {
     std::uint64_t term = 0;
     fencing_token token;
+    /// Reason of the claim, as a stable snake_case word.
+    std::string_view reason;
 };
 
 /// @brief Release ownership.
@@ -105,8 +109,17 @@
     /// @brief Returns the action to take now; to be called at least every 50
     /// ms.
     /// @param unix_ms the time of day in milliseconds since 1970
-    [[nodiscard]] ownership_decision decide(time_point now,
-                                            std::uint64_t unix_ms);
+    /// @param evidence what the executors have shown of a silent owner; nobody
+    /// takes over from an owner that gives orders
+    [[nodiscard]] ownership_decision
+    decide(time_point now, std::uint64_t unix_ms,
+           executor_evidence const& evidence = {});
+
+    /// @brief Returns the token of an owner that this instance has not heard
+    /// from for a while, so that executors can be asked whether it lives.
+    /// @return nothing while the owner is heard from, and after it has ended
+    [[nodiscard]] std::optional<fencing_token>
+    silent_owner_token(time_point now) const;
 
     /// @brief Returns what decides the intervals of heartbeats.
     [[nodiscard]] succession_view succession(time_point now) const;
@@ -170,10 +183,14 @@
     [[nodiscard]] time_point claim_time() const;
     /// Whether another instance has just reported that it follows an owner.
     [[nodiscard]] bool peers_follow_owner(time_point now) const;
+    /// Whether most instances of the failure domain, this one included, are
+    /// heard from.
+    [[nodiscard]] bool hears_majority(time_point now) const;
     /// Decides whether this instance, as the owner, yields to a larger one.
     void update_yield(time_point now);
     /// Adopts the successors that the owner with the highest term designates.
-    void follow_owner(owner_heartbeat const& heartbeat, time_point now);
+    void follow_owner(instance_id owner, owner_heartbeat const& heartbeat,
+                      time_point now);
 
     instance_key self_;
     std::uint32_t weight_;
@@ -191,9 +208,17 @@
     /// Time at which the silence of an owner was noticed; empty while an owner
     /// is alive and after one that certainly ended.
     std::optional<time_point> owner_silent_since_;
+    /// The last owner that was alive; 0 after one that has ended.
+    instance_id last_owner_;
+    fencing_token last_owner_token_;
     /// Whether the last live owner designated this instance as a successor.
     bool designated_ = false;
     std::map<instance_id, peer_state> peers_;
+    /// Time of the last heartbeat of each instance of the failure domain that
+    /// has not certainly ended.
+    std::map<instance_id, time_point> heard_at_;
+    /// Earliest claim while only a minority is heard from.
+    time_point minority_claim_allowed_at_{};
 };
 
 } // namespace goldcrestgate::core
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -58,6 +58,18 @@
         return state_.owner;
     }
 
+    /// @brief Polls some executors with the token of an owner that this
+    /// instance no longer hears from, at most every 100 ms.
+    void probe_owner(fencing_token token, time_point now,
+                     std::vector<scheduler_action>& out);
+
+    /// @brief Returns what the executors have shown of a silent owner.
+    [[nodiscard]] executor_evidence evidence(time_point now) const
+    {
+        return {state_.probe.owner_lives(now), state_.probe.token_refused(now),
+                !state_.executors.empty()};
+    }
+
     /// @brief Returns whether an executor has seen a higher token; ownership
     /// must then be claimed again or released.
     [[nodiscard]] bool fenced() const
--- /dev/null
+++ b/src/app/entry/entry_ownership.cpp
@@ -0,0 +1,60 @@
+#include "goldcrestgate/app/entry/entry_instance.hpp"
+
+#include "goldcrestgate/app/detail/wall_clock.hpp"
+
+namespace goldcrestgate::app
+{
+
+void entry_instance::decide_ownership()
+{
+    auto const now = loop_.now();
+    if (scheduler_.fenced())
+    {
+        ownership_.fenced(scheduler_.load(now).claimed == 0, now);
+    }
+    std::vector<core::scheduler_action> out;
+    if (auto const token = ownership_.silent_owner_token(now))
+    {
+        scheduler_.probe_owner(*token, now, out);
+    }
+    auto const decision = ownership_.decide(now, detail::unix_milliseconds(),
+                                            scheduler_.evidence(now));
+    if (auto const* const claim = std::get_if<core::claim_ownership>(&decision))
+    {
+        log_.write(log_line{log_level::info, "ownership_claimed"}
+                       .text("reason", claim->reason)
+                       .number("term", static_cast<std::int64_t>(claim->term)));
+        bool const roster_known =
+            roster_term_ != 0 && roster_term_ >= last_owner_term_;
+        scheduler_.take_over(claim->token, roster_known, now, out);
+        roster_term_ = claim->term;
+        last_owner_term_ = claim->term;
+        executors_watch_.resume();
+        executors_watch_.refresh();
+        informed_successors_.clear();
+        announce();
+    }
+    else if (std::holds_alternative<core::release_ownership>(decision))
+    {
+        scheduler_.release_ownership(now, out);
+        announce();
+    }
+    apply(out);
+}
+
+// Runs before any other event after a pause, so that no order is sent on an
+// ownership that may have passed to a successor meanwhile.
+void entry_instance::handle_pause(core::duration lateness)
+{
+    log_.write(
+        log_line{log_level::warning, "process_paused"}
+            .number(
+                "late_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(lateness)
+                    .count())
+            .flag("owner", scheduler_.owns()));
+    ownership_.paused(loop_.now());
+    decide_ownership();
+}
+
+} // namespace goldcrestgate::app
--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/leasing/domain_ownership.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace goldcrestgate::core
 {
@@ -27,6 +28,10 @@
 /// only without an owner.
 constexpr duration undesignated_claim_delay = std::chrono::milliseconds{400};
 
+/// Time without a heartbeat of the owner, whose interval is 100 ms, after which
+/// the executors are asked; it leaves time for two polls before a claim.
+constexpr duration probe_delay = std::chrono::milliseconds{250};
+
 /// Validity of a report of another instance that it follows an owner; such
 /// reports answer the heartbeats of an instance without an owner, which are
 /// sent every 100 ms.
@@ -36,9 +41,6 @@
 /// that this instance no longer hears from.
 constexpr duration report_wait = std::chrono::milliseconds{40};
 
-/// The loss of an owner and of one successor at a time leaves a successor.
-constexpr std::size_t successor_count = 2;
-
 /// Time between an owner's checks for a larger instance. It is long enough for
 /// a successor to receive the roster and to claim, and short beside the time
 /// for which an instance too small for the load would stay the owner.
@@ -55,6 +57,14 @@
 /// other owner.
 constexpr duration fenced_claim_delay = std::chrono::milliseconds{700};
 
+/// Time for which an owner whose token was refused does not claim again while
+/// it hears from a minority of its failure domain only; the majority serves.
+constexpr duration minority_claim_delay = std::chrono::seconds{3};
+
+/// Time for which an instance that is no longer heard from counts as a member
+/// of the failure domain; cuts last for several seconds.
+constexpr duration membership_memory = std::chrono::seconds{30};
+
 /// Increment of the term after a refusal while claiming: clocks of instances
 /// differ by seconds, so an earlier owner may have used a later time.
 constexpr std::uint64_t refused_term_step_ms = 5'000;
@@ -88,18 +98,29 @@
     {
         return;
     }
-    follow_owner(heartbeat, now);
+    heard_at_[from.instance] = now;
+    follow_owner(from.instance, heartbeat, now);
     highest_term_ =
         std::max({highest_term_, heartbeat.term, heartbeat.highest_term});
 }
 
-void domain_ownership::follow_owner(owner_heartbeat const& heartbeat,
+void domain_ownership::follow_owner(instance_id owner,
+                                    owner_heartbeat const& heartbeat,
                                     time_point now)
 {
+    if (owner == last_owner_ && (heartbeat.term == 0 || heartbeat.leaving))
+    {
+        last_owner_ = {};
+    }
     if (heartbeat.term == 0 || heartbeat.term < highest_term_)
     {
         return;
     }
+    if (!heartbeat.leaving)
+    {
+        last_owner_ = owner;
+        last_owner_token_ = make_token(heartbeat.term, owner);
+    }
     owner_seen_at_ = now;
     owner_silent_since_.reset();
     designated_ = std::ranges::find(heartbeat.successors, self_.instance) !=
@@ -108,6 +129,14 @@
 
 void domain_ownership::lost(instance_id peer, bool ended, time_point now)
 {
+    if (ended)
+    {
+        heard_at_.erase(peer);
+    }
+    if (ended && peer == last_owner_)
+    {
+        last_owner_ = {};
+    }
     auto const found = peers_.find(peer);
     if (found == peers_.end())
     {
@@ -140,6 +169,7 @@
     {
         claim_allowed_at_ = now + fenced_claim_delay;
     }
+    minority_claim_allowed_at_ = now + minority_claim_delay;
     release_requested_ = true;
 }
 
@@ -216,8 +246,20 @@
         });
 }
 
+std::optional<fencing_token>
+domain_ownership::silent_owner_token(time_point now) const
+{
+    bool const silent = owner_seen_at_ && now - *owner_seen_at_ > probe_delay;
+    if (term_ != 0 || leaving_ || last_owner_ == instance_id{} || !silent)
+    {
+        return std::nullopt;
+    }
+    return last_owner_token_;
+}
+
 ownership_decision domain_ownership::decide(time_point now,
-                                            std::uint64_t unix_ms)
+                                            std::uint64_t unix_ms,
+                                            executor_evidence const& evidence)
 {
     auto const* const owner = other_owner(now);
     if (term_ != 0)
@@ -232,6 +274,12 @@
         }
         return {};
     }
+    if (evidence.newer_owner && last_owner_ != instance_id{})
+    {
+        // An executor would refuse the token at each further poll.
+        last_owner_ = {};
+        minority_claim_allowed_at_ = now + minority_claim_delay;
+    }
     if (leaving_ || now < claim_time())
     {
         return {};
@@ -244,10 +292,36 @@
     {
         return {};
     }
+    bool const owner_silent = last_owner_ != instance_id{};
+    if (!invited && !hears_majority(now))
+    {
+        bool const must_not_claim =
+            owner_silent && (evidence.owner_lives || !evidence.executors_known);
+        if (must_not_claim || now < minority_claim_allowed_at_)
+        {
+            return {};
+        }
+    }
+    last_owner_ = {};
     yield_checked_at_ = now;
     term_ = std::max(unix_ms, highest_term_ + 1);
     highest_term_ = term_;
-    return claim_ownership{term_, make_token(term_, self_.instance)};
+    return claim_ownership{term_, make_token(term_, self_.instance),
+                           invited        ? "invited"
+                           : owner_silent ? "owner_silent"
+                                          : "no_owner"};
+}
+
+bool domain_ownership::hears_majority(time_point now) const
+{
+    std::size_t members = 1;
+    std::size_t heard = 1;
+    for (auto const& [id, heard_at] : heard_at_)
+    {
+        members += now - heard_at < membership_memory ? 1 : 0;
+        heard += now - heard_at < silence_limit({}) ? 1 : 0;
+    }
+    return heard * 2 > members;
 }
 
 void domain_ownership::update_yield(time_point now)
@@ -270,70 +344,6 @@
     }
 }
 
-owner_heartbeat domain_ownership::heartbeat(std::uint32_t free_millicores,
-                                            duration expected_wait,
-                                            time_point now) const
-{
-    owner_heartbeat message;
-    message.term = term_;
-    message.highest_term = highest_term_;
-    message.weight = weight_;
-    message.leaving = leaving_;
-    message.free_millicores = free_millicores;
-    message.expected_wait = expected_wait;
-    message.time_to_claim = std::max(duration{}, claim_time() - now);
-    message.successors = designated_successors(now);
-    message.owner_known = other_owner(now) != nullptr;
-    message.yields_to = yields_to_;
-    return message;
-}
-
-std::vector<instance_id>
-domain_ownership::designated_successors(time_point now) const
-{
-    if (term_ == 0)
-    {
-        return {};
-    }
-    std::vector<peer_state const*> candidates;
-    for (auto const& [id, peer] : peers_)
-    {
-        if (peer.key.domain == self_.domain && !peer.last.leaving &&
-            is_fresh(peer, now))
-        {
-            candidates.push_back(&peer);
-        }
-    }
-    // The order of the ids, which peers_ has, decides among equal weights.
-    std::ranges::stable_sort(candidates, std::ranges::greater{},
-                             [](peer_state const* peer)
-                             {
-                                 return peer->last.weight;
-                             });
-    std::vector<instance_id> successors;
-    for (auto const* const peer : candidates)
-    {
-        if (successors.size() == successor_count)
-        {
-            break;
-        }
-        successors.push_back(peer->key.instance);
-    }
-    return successors;
-}
-
-succession_view domain_ownership::succession(time_point now) const
-{
-    auto const* const owner = other_owner(now);
-    succession_view view;
-    view.owner_known = term_ != 0 || owner != nullptr;
-    if (owner != nullptr && designated_)
-    {
-        view.fellow_successors = owner->last.successors;
-    }
-    return view;
-}
-
 bool domain_ownership::peers_follow_owner(time_point now) const
 {
     return std::ranges::any_of(peers_,
@@ -347,11 +357,6 @@
                                });
 }
 
-bool domain_ownership::is_successor(time_point now) const
-{
-    return designated_ && other_owner(now) != nullptr;
-}
-
 bool domain_ownership::may_claim_soon(time_point now) const
 {
     return !leaving_ && other_owner(now) == nullptr &&
@@ -359,53 +364,6 @@
            is_preferred_owner(now);
 }
 
-std::optional<duration>
-domain_ownership::interval_to(instance_key const& peer,
-                              succession_view const& view,
-                              bool shares_jobs) const
-{
-    auto const found = peers_.find(peer.instance);
-    peer_relation relation;
-    relation.same_domain = peer.domain == self_.domain;
-    relation.owner_known = view.owner_known;
-    relation.self_owns = term_ != 0;
-    relation.peer_owns = found != peers_.end() && found->second.last.term != 0;
-    relation.both_successors =
-        std::ranges::find(view.fellow_successors, peer.instance) !=
-        view.fellow_successors.end();
-    relation.shares_jobs = shares_jobs;
-    return core::heartbeat_interval(relation);
-}
-
-std::vector<owner_view> domain_ownership::owners(time_point now) const
-{
-    std::map<domain_id, owner_view> best;
-    if (term_ != 0)
-    {
-        best[self_.domain] = {self_.domain, self_.instance, term_, 0, {}};
-    }
-    for (auto const& [id, peer] : peers_)
-    {
-        if (peer.last.term == 0 || !is_alive(peer, now))
-        {
-            continue;
-        }
-        auto& view = best[peer.key.domain];
-        if (peer.last.term > view.term)
-        {
-            view = {peer.key.domain, id, peer.last.term,
-                    peer.last.free_millicores, peer.last.expected_wait};
-        }
-    }
-    std::vector<owner_view> views;
-    views.reserve(best.size());
-    for (auto const& [domain, view] : best)
-    {
-        views.push_back(view);
-    }
-    return views;
-}
-
 std::vector<instance_id> domain_ownership::take_unresponsive(time_point now)
 {
     std::vector<instance_id> unresponsive;
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -38,6 +38,7 @@
     state_.fenced = false;
     state_.token = token;
     state_.owner_since = now;
+    state_.last_earlier_order = state_.last_order;
     state_.roster_known = roster_known;
     scheduler_log_event log_event{.event = "ownership_taken"};
     log_event.count = state_.executors.size();
@@ -78,6 +79,16 @@
     }
 }
 
+void job_scheduler::probe_owner(fencing_token token, time_point now,
+                                std::vector<scheduler_action>& out)
+{
+    scheduler_context context{now, out};
+    if (!state_.owner)
+    {
+        state_.probe_owner(token, context);
+    }
+}
+
 void job_scheduler::suspend(bool suspended, time_point now,
                             std::vector<scheduler_action>& out)
 {
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -8,12 +8,49 @@
 namespace
 {
 
+/// Interval of the polls of an instance that no longer hears from an owner.
+constexpr duration probe_interval = std::chrono::milliseconds{100};
+constexpr duration probe_answer_timeout = std::chrono::milliseconds{160};
+
+/// Time after which the lists of an earlier silence are out of date.
+constexpr duration probe_validity = std::chrono::milliseconds{400};
+
 /// Time for which the end of a run is kept until its job is offered. The
 /// instances offer it again within one or two heartbeats.
 constexpr duration done_task_retention = std::chrono::seconds{4};
 
 } // namespace
 
+void scheduler_state::probe_owner(fencing_token silent_token,
+                                  scheduler_context& context)
+{
+    if (probed_at && context.now - *probed_at < probe_interval)
+    {
+        return;
+    }
+    if (!probed_at || context.now - *probed_at > probe_validity)
+    {
+        probe.reset();
+    }
+    probed_at = context.now;
+    std::vector<std::pair<executor_id, std::string_view>> candidates;
+    candidates.reserve(executors.size());
+    for (auto const& [id, executor] : executors)
+    {
+        auto const& labels = executor.description.labels;
+        candidates.emplace_back(id, labels.empty() ? "" : labels.back());
+    }
+    for (auto const id : owner_probe::choose(candidates))
+    {
+        poll_executor order;
+        order.order = next_order();
+        order.executor = id;
+        order.token = silent_token;
+        order.timeout = probe_answer_timeout;
+        context.out.emplace_back(order);
+    }
+}
+
 // An earlier owner that lives stops its runs of the job as soon as for a
 // resubmission, because the gateway has withdrawn the job there.
 void scheduler_state::await_claims(job_record& job, time_point now) const
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -89,8 +89,13 @@
 void scheduler_state::poll_answered(poll_answer const& answer,
                                     scheduler_context& context)
 {
+    if (!owner)
+    {
+        probe.answered(answer, context.now);
+        return;
+    }
     auto const found = executors.find(answer.executor);
-    if (!owner || found == executors.end())
+    if (found == executors.end() || answer.order.value() <= last_earlier_order)
     {
         return;
     }
--- a/tests/support/domain_cluster.cpp
+++ b/tests/support/domain_cluster.cpp
@@ -173,7 +173,12 @@
     auto const unix_ms =
         static_cast<std::uint64_t>(now.time_since_epoch() / milliseconds{1});
     std::vector<scheduler_action> out;
-    auto const decision = state.ownership.decide(now, unix_ms);
+    if (auto const token = state.ownership.silent_owner_token(now))
+    {
+        scheduler.probe_owner(*token, now, out);
+    }
+    auto const decision =
+        state.ownership.decide(now, unix_ms, scheduler.evidence(now));
     if (auto const* const claim = std::get_if<claim_ownership>(&decision))
     {
         ++claims_;
