Repeat a refused claim at once in a minority

Clocks of instances differ by seconds, so the first term of a successor may be refused after a real loss; its callers would have had no owner in this time.

The delay now follows only the refusal of an owner that had claimed an executor. unit.owner_probe (refused_claim_of_a_minority_is_repeated_at_once) failed before.

--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -168,8 +168,8 @@
     else
     {
         claim_allowed_at_ = now + fenced_claim_delay;
+        minority_claim_allowed_at_ = now + minority_claim_delay;
     }
-    minority_claim_allowed_at_ = now + minority_claim_delay;
     release_requested_ = true;
 }
 
--- a/tests/unit/owner_probe.cpp
+++ b/tests/unit/owner_probe.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(minority_without_executors_does_not_claim);
     CPPUNIT_TEST(majority_replaces_an_owner_that_is_cut_off);
     CPPUNIT_TEST(refused_owner_in_a_minority_waits);
+    CPPUNIT_TEST(refused_claim_of_a_minority_is_repeated_at_once);
     CPPUNIT_TEST(refused_token_is_not_used_again);
     CPPUNIT_TEST(ended_owner_is_not_probed);
     CPPUNIT_TEST(probe_of_a_living_owner_finds_its_orders);
@@ -135,6 +136,19 @@
         CPPUNIT_ASSERT(claims(self, {}));
     }
 
+    // Guards against a late successor in a failure domain of two instances
+    // whose clocks differ: the executors refuse its first term.
+    void refused_claim_of_a_minority_is_repeated_at_once()
+    {
+        auto self = make_follower();
+        lose_all(self);
+        CPPUNIT_ASSERT(claims(self, {}));
+        self.fenced(true, now_);
+        static_cast<void>(self.decide(now_, unix_ms, {}));
+        now_ += milliseconds{50};
+        CPPUNIT_ASSERT(claims(self, {}));
+    }
+
     // Guards against a claim of a minority against an owner that it has not
     // heard from, and against polls with a token that is out of date.
     void refused_token_is_not_used_again()
