--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -21,6 +21,9 @@
     duration elapsed{};
     /// Whether an earlier owner may have started tasks of the job.
     bool resumed = false;
+    /// Whether no other owner, and no earlier term of the receiver, can have
+    /// accepted the job.
+    bool only_offered_here = false;
 };
 
 /// @brief Reports that the caller of a job has disconnected and needs no
@@ -39,7 +42,8 @@
     rejected,
     /// Tasks may have started; the job was abandoned.
     abandoned,
-    /// The receiver of the offer owns no executors; it started nothing.
+    /// The receiver of the offer owns no executors. It starts nothing for this
+    /// offer; it may have accepted an earlier offer of the job.
     not_owner
 };
 
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -44,8 +44,25 @@
     ++group.waiting;
 }
 
-/// Unblocks the tasks of the groups whose preceding groups are done.
-void unblock_groups(job_record& job)
+/// Returns whether a waiting task would miss the deadline even on the fastest
+/// executor at its best-case run time.
+bool cannot_meet_deadline(job_record const& job, double fastest, time_point now)
+{
+    for (std::size_t i = 0; i < job.groups.size(); ++i)
+    {
+        auto const run = scale_duration(job.job.groups[i].estimate,
+                                        fastest * best_case_factor);
+        if (job.groups[i].waiting > 0 && now + run > job.deadline)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+void scheduler_state::unblock_groups(job_record& job)
 {
     for (std::size_t i = 0; i < job.groups.size(); ++i)
     {
@@ -71,7 +88,7 @@
     }
 }
 
-bool is_complete(job_record const& job)
+bool scheduler_state::is_complete(job_record const& job)
 {
     return std::ranges::all_of(job.groups,
                                [](group_record const& group)
@@ -80,24 +97,6 @@
                                });
 }
 
-/// Returns whether a waiting task would miss the deadline even on the fastest
-/// executor at its best-case run time.
-bool cannot_meet_deadline(job_record const& job, double fastest, time_point now)
-{
-    for (std::size_t i = 0; i < job.groups.size(); ++i)
-    {
-        auto const run = scale_duration(job.job.groups[i].estimate,
-                                        fastest * best_case_factor);
-        if (job.groups[i].waiting > 0 && now + run > job.deadline)
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
-} // namespace
-
 void scheduler_state::offer(instance_id origin, job_offer const& offered,
                             scheduler_context& context)
 {
@@ -108,11 +107,17 @@
             report_verdict{origin, {id, job_outcome::not_owner, {}}});
         return;
     }
+    bool const may_run_elsewhere =
+        offered.resumed && !offered.only_offered_here;
     if (auto const known = jobs.find(id); known != jobs.end())
     {
         known->second.origin = origin;
         known->second.cancel_at.reset();
         known->second.origin_lost = false;
+        if (may_run_elsewhere && !known->second.inherited)
+        {
+            await_claims(known->second, context.now);
+        }
         return;
     }
     if (auto const ended = retained_verdicts.find(id);
@@ -128,7 +133,10 @@
     job.deadline = context.now - offered.elapsed + offered.job.time_limit;
     job.critical_path_time = critical_path(offered.job.groups);
     job.inherited = offered.resumed;
-    job.awaits_claims = offered.resumed && !claims_complete(context.now);
+    if (may_run_elsewhere)
+    {
+        await_claims(job, context.now);
+    }
     for (auto const& group : offered.job.groups)
     {
         job.groups.emplace_back().tasks.resize(group.task_count);
@@ -142,6 +150,11 @@
 
     auto const verdict = evaluate_admission(job, context.now);
     auto& stored = jobs.emplace(id, std::move(job)).first->second;
+    if (is_complete(stored))
+    {
+        end_job(id, job_outcome::completed, {}, "completed", context);
+        return;
+    }
     if (!crashes.crash_looping_tasks(id).empty())
     {
         end_crash_looping_job(id, context);
@@ -263,6 +276,10 @@
         {
             executor.health.record_failure(context.now);
         }
+        if (end == run_end::done)
+        {
+            note_done_task(run.run.task, context);
+        }
         return;
     }
     auto& job = found->second;
@@ -334,12 +351,19 @@
                   {
                       return entry.second.expires_at <= context.now;
                   });
+    std::erase_if(done_tasks,
+                  [&context](auto const& entry)
+                  {
+                      return entry.second <= context.now;
+                  });
     auto ranges = slowdowns(context.now);
-    bool const all_claimed = claims_complete(context.now);
+    bool const runs_known = all_runs_known();
     std::vector<std::pair<client_job_id, std::string_view>> ended;
     for (auto& [id, job] : jobs)
     {
-        if (job.awaits_claims && all_claimed)
+        bool const claims_awaited =
+            !runs_known && context.now < job.unknown_runs_end;
+        if (job.awaits_claims && !claims_awaited)
         {
             job.awaits_claims = false;
             adopt_runs(job, context);
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -51,12 +51,16 @@
 
 bool scheduler_state::claims_complete(time_point now) const
 {
-    return now >= owner_since + lease_expiry_time() ||
-           (roster_known && std::ranges::all_of(executors,
-                                                [](auto const& entry)
-                                                {
-                                                    return entry.second.claimed;
-                                                }));
+    return now >= owner_since + lease_expiry_time() || all_runs_known();
+}
+
+bool scheduler_state::all_runs_known() const
+{
+    return roster_known && std::ranges::all_of(executors,
+                                               [](auto const& entry)
+                                               {
+                                                   return entry.second.claimed;
+                                               });
 }
 
 void scheduler_state::send_poll(executor_record& executor,
@@ -86,8 +90,13 @@
 void scheduler_state::poll_answered(poll_answer const& answer,
                                     scheduler_context& context)
 {
+    if (!owner)
+    {
+        probe.answered(answer, context.now);
+        return;
+    }
     auto const found = executors.find(answer.executor);
-    if (!owner || found == executors.end())
+    if (found == executors.end() || answer.order.value() <= last_earlier_order)
     {
         return;
     }
@@ -239,6 +248,7 @@
             }
         }
     }
+    complete_done_tasks(job, context);
 }
 
 void scheduler_state::adopt_run(job_record& job, executor_record& executor,
@@ -251,6 +261,10 @@
     }
     auto& group = job.groups[task.group];
     auto& entry = group.tasks[task.index];
+    if (entry.phase == task_phase::blocked)
+    {
+        complete_preceding_groups(job, task.group);
+    }
     if (entry.phase != task_phase::waiting)
     {
         return;
@@ -292,6 +306,10 @@
         auto const* const run = find_run(executor, finished.run);
         if (run == nullptr)
         {
+            if (finished.end == run_end::done)
+            {
+                note_done_task(finished.run.task, context);
+            }
             continue;
         }
         auto const record = *run;
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -4,6 +4,7 @@
 
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -50,6 +51,8 @@
     std::map<core::client_job_id, core::time_point> ended_at;
     /// All start orders so far.
     std::vector<core::start_run> start_orders;
+    /// Also receives each verdict, if set.
+    std::function<void(core::report_verdict const&)> verdict_receiver;
 
     /// @brief Executes the actions that the scheduler asks for.
     void apply(std::vector<core::scheduler_action> const& actions);
