Adopt a late run when its task waits again

A task whose second start was refused or had ended was started a third time beside the late run of its first start, although the owner knew that run. The run stayed an orphan because the task was active when the executor listed it, and nothing looked for it when the task waited again. requeue_task, which now also serves task_ended, makes the task responsible for such a run, so that the task waits for its end. The executors are searched only when a task is queued again, not for each placement.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -368,7 +368,7 @@
                     run_end end, scheduler_context& context);
     /// Takes back a start that the executor has definitely not carried out.
     void revoke_start(run_record const& run);
-    void requeue_task(run_record const& run);
+    void requeue_task(run_record const& run, scheduler_context& context);
     void attribute_failure(executor_record& executor, task_record& task,
                            time_point now);
     void expire_jobs(scheduler_context& context);
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -201,7 +201,10 @@
     }
 }
 
-void scheduler_state::requeue_task(run_record const& run)
+// A late run of the task that has been listed meanwhile may still live; the
+// task waits for its end instead of a start beside it.
+void scheduler_state::requeue_task(run_record const& run,
+                                   scheduler_context& context)
 {
     auto const found = jobs.find(run.run.task.job);
     if (run.orphan_deadline || found == jobs.end() ||
@@ -211,9 +214,20 @@
     }
     auto& group = found->second.groups[run.run.task.group];
     auto& task = group.tasks[run.run.task.index];
-    if (task.phase == task_phase::active)
+    if (task.phase != task_phase::active)
+    {
+        return;
+    }
+    make_waiting(group, task);
+    for (auto& [id, executor] : executors)
     {
-        make_waiting(group, task);
+        for (auto& listed : executor.runs)
+        {
+            if (listed.run.task == run.run.task)
+            {
+                adopt_run(found->second, executor, listed, context);
+            }
+        }
     }
 }
 
@@ -288,7 +302,7 @@
         }
         return;
     }
-    make_waiting(group, task);
+    requeue_task(run, context);
     if (end != run_end::failed)
     {
         return;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -269,7 +269,7 @@
         auto const refused = run;
         revoke_start(refused);
         remove_run(executor, answer.run);
-        requeue_task(refused);
+        requeue_task(refused, context);
     }
     if (handle_executor_loss(executor, answer.outcome, context))
     {
@@ -311,7 +311,7 @@
     }
     auto const record = run;
     remove_run(executor, answer.run);
-    requeue_task(record);
+    requeue_task(record, context);
     if (auto const job = jobs.find(answer.run.task.job);
         job != jobs.end() && !record.orphan_deadline &&
         has_task(job->second, answer.run.task) &&
@@ -468,7 +468,7 @@
     executor.unresponsive = false;
     for (auto const& run : runs)
     {
-        requeue_task(run);
+        requeue_task(run, context);
     }
     confirm_crashes(executor, context);
     if (executor.description.draining)
