Wait for the lease of each unclaimed executor after a takeover

A successor started the task of an earlier owner beside its living run: a start of the earlier owner had arrived late at an executor that had restarted and did not answer the successor. The successor took all leases for expired at a fixed time after it took over, and a restart extended the lease of an executor only if runs were recorded on it. claims_complete now asks for each executor that it is claimed or that its own lease has expired, and every restart extends the lease, as the new process counts it from the late start on. An executor that restarts or is new and does not answer delays jobs that an earlier owner may have started, by at most one lease after the news.

--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -49,14 +49,19 @@
            lease_expiry_margin;
 }
 
+// A restarted executor may carry out a late start of an earlier owner and
+// counts the lease from then on, so that each executor has its own lease end.
 bool scheduler_state::claims_complete(time_point now) const
 {
-    return now >= owner_since + lease_expiry_time() ||
-           (roster_known && std::ranges::all_of(executors,
-                                                [](auto const& entry)
-                                                {
-                                                    return entry.second.claimed;
-                                                }));
+    bool const roster_complete =
+        roster_known || now >= owner_since + lease_expiry_time();
+    return roster_complete &&
+           std::ranges::all_of(executors,
+                               [now](auto const& entry)
+                               {
+                                   return entry.second.claimed ||
+                                          now >= entry.second.lease_expires_at;
+                               });
 }
 
 void scheduler_state::send_poll(executor_record& executor,
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -400,12 +400,10 @@
     }
     confirm_crashes(executor, context);
     executor.last_uncertain_order = order_id{last_order};
-    // The new process may have carried out a start just now. It counts the
-    // lease from then on, as the deadline of the order was on another clock.
-    if (!executor.runs.empty())
-    {
-        executor.lease_expires_at = context.now + lease_expiry_time();
-    }
+    // The new process may have carried out a start, also of an earlier owner,
+    // just now. It counts the lease from then on, as the deadline of the order
+    // was on another clock.
+    executor.lease_expires_at = context.now + lease_expiry_time();
     repeat_stops(executor, context);
 }
 
