Repeat the stop of a late start until it is accepted

A start without an answer ran beside a later run of its task: after a restart of the executor its stop was sent once, and if that order was lost nothing sent it again, because no run is recorded for such a start. unanswered_starts now keeps the time of the next stop order. Each restart sets it, an accepted stop of the present process clears it, and each tick sends the orders that are due, until the start can no longer arrive.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -120,6 +120,9 @@
     task_run run;
     /// Time until which the start may arrive.
     time_point until{};
+    /// Time of the next stop order, unless the present process has accepted a
+    /// stop of the run.
+    std::optional<time_point> stop_due;
 };
 
 /// @brief State of one executor as known to its owner.
@@ -437,6 +440,14 @@
     /// Stops on the present process the runs that an earlier process has
     /// stopped, as their starts may still arrive.
     void repeat_stops(executor_record& executor, scheduler_context& context);
+    /// Remembers a start without an answer, as it may arrive late.
+    static void record_unanswered_start(executor_record& executor,
+                                        task_run const& run,
+                                        scheduler_context& context);
+    /// Sends the due stop orders of starts without a recorded run.
+    void send_due_stops(executor_record& executor, scheduler_context& context);
+    /// Ends or continues the stop orders of a start without an answer.
+    void record_repeated_stop(order_answer const& answer, time_point now);
     /// Whether an order was sent to the executor's present process.
     [[nodiscard]] static bool
     was_sent_to_present_process(executor_record const& executor,
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -447,6 +447,7 @@
     for (auto& [id, executor] : executors)
     {
         check_runs(executor, context);
+        send_due_stops(executor, context);
         bool const is_expired =
             !executor.listed && executor.runs.empty() &&
             context.now >= executor.unlisted_at + unlisted_timeout;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/order_timing.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
@@ -41,16 +42,6 @@
 namespace
 {
 
-/// Answer timeout of a start or stop order. An answer takes a few milliseconds,
-/// and a CPU quota can stall either side for up to 100 ms.
-constexpr duration order_answer_timeout = std::chrono::milliseconds{160};
-
-/// Delay between attempts to stop a run.
-constexpr duration stop_retry_delay = std::chrono::milliseconds{60};
-
-/// Time for which an order without an answer may still arrive.
-constexpr duration late_order_time = std::chrono::seconds{5};
-
 /// Increment of a task's execution number after a refusal as stale, because the
 /// number that an earlier owner used is unknown.
 constexpr std::uint32_t stale_execution_step = 8;
@@ -61,15 +52,6 @@
 constexpr duration first_refusal_delay = std::chrono::milliseconds{200};
 constexpr std::uint32_t max_refusal_doublings = 3;
 
-void forget_old_starts(executor_record& executor, time_point now)
-{
-    std::erase_if(executor.unanswered_starts,
-                  [now](unanswered_start const& start)
-                  {
-                      return start.until <= now;
-                  });
-}
-
 } // namespace
 
 order_id scheduler_state::next_order()
@@ -283,9 +265,7 @@
         {
             executor.health.record_timeout(context.now);
         }
-        forget_old_starts(executor, context.now);
-        executor.unanswered_starts.push_back(
-            {run.run, context.now + late_order_time});
+        record_unanswered_start(executor, run.run, context);
         request_stop(executor, run, context);
         return;
     case order_outcome::not_sent:
@@ -331,6 +311,7 @@
 void scheduler_state::stop_answered(order_answer const& answer,
                                     scheduler_context& context)
 {
+    record_repeated_stop(answer, context.now);
     auto const answered = find_answered(answer, context.now);
     if (!answered)
     {
@@ -407,29 +388,6 @@
     repeat_stops(executor, context);
 }
 
-void scheduler_state::repeat_stops(executor_record& executor,
-                                   scheduler_context& context)
-{
-    for (auto& run : executor.runs)
-    {
-        if (run.phase == run_phase::stop_accepted)
-        {
-            run.phase = run_phase::stopping;
-            request_stop(executor, run, context);
-        }
-    }
-    forget_old_starts(executor, context.now);
-    for (auto const& start : executor.unanswered_starts)
-    {
-        if (find_run(executor, start.run) == nullptr)
-        {
-            context.out.emplace_back(stop_run{next_order(), executor.id,
-                                              start.run, token,
-                                              order_answer_timeout});
-        }
-    }
-}
-
 bool scheduler_state::was_sent_to_present_process(
     executor_record const& executor, order_id order)
 {
