Stop a late run of an active or done task at once

A late run of a task went on for 400 ms beside a later run of the task when a claimed executor listed it, although the job was known. The run got the time for which runs of unknown jobs are kept. adopt_run, which is called as soon as the job of a listed run is known, now ends that time for a run whose task is active or done.

--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -256,6 +256,11 @@
     }
     auto& group = job.groups[task.group];
     auto& entry = group.tasks[task.index];
+    if (entry.phase == task_phase::active || entry.phase == task_phase::done)
+    {
+        // No task will wait for this run, so it is stopped at once.
+        run.orphan_deadline = std::min(*run.orphan_deadline, context.now);
+    }
     if (entry.phase != task_phase::waiting)
     {
         return;
