--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -214,7 +214,10 @@
     }
 }
 
-void scheduler_state::requeue_task(run_record const& run)
+// A late run of the task that has been listed meanwhile may still live; the
+// task waits for its end instead of a start beside it.
+void scheduler_state::requeue_task(run_record const& run,
+                                   scheduler_context& context)
 {
     auto const found = jobs.find(run.run.task.job);
     if (run.orphan_deadline || found == jobs.end() ||
@@ -224,9 +227,20 @@
     }
     auto& group = found->second.groups[run.run.task.group];
     auto& task = group.tasks[run.run.task.index];
-    if (task.phase == task_phase::active)
+    if (task.phase != task_phase::active)
+    {
+        return;
+    }
+    make_waiting(group, task);
+    for (auto& [id, executor] : executors)
     {
-        make_waiting(group, task);
+        for (auto& listed : executor.runs)
+        {
+            if (listed.run.task == run.run.task)
+            {
+                adopt_run(found->second, executor, listed, context);
+            }
+        }
     }
 }
 
@@ -305,7 +319,7 @@
         }
         return;
     }
-    make_waiting(group, task);
+    requeue_task(run, context);
     if (end != run_end::failed)
     {
         return;
@@ -358,11 +372,13 @@
                   });
     auto ranges = slowdowns(context.now);
     bool const runs_known = all_runs_known();
+    bool const leases_ended = claims_complete(context.now);
     std::vector<std::pair<client_job_id, std::string_view>> ended;
     for (auto& [id, job] : jobs)
     {
         bool const claims_awaited =
-            !runs_known && context.now < job.unknown_runs_end;
+            !runs_known &&
+            (!leases_ended || context.now < job.unknown_runs_end);
         if (job.awaits_claims && !claims_awaited)
         {
             job.awaits_claims = false;
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -49,9 +49,19 @@
            lease_expiry_margin;
 }
 
+// A restarted executor may carry out a late start of an earlier owner and
+// counts the lease from then on, so that each executor has its own lease end.
 bool scheduler_state::claims_complete(time_point now) const
 {
-    return now >= owner_since + lease_expiry_time() || all_runs_known();
+    bool const roster_complete =
+        roster_known || now >= owner_since + lease_expiry_time();
+    return roster_complete &&
+           std::ranges::all_of(executors,
+                               [now](auto const& entry)
+                               {
+                                   return entry.second.claimed ||
+                                          now >= entry.second.lease_expires_at;
+                               });
 }
 
 bool scheduler_state::all_runs_known() const
@@ -265,6 +275,11 @@
     {
         complete_preceding_groups(job, task.group);
     }
+    if (entry.phase == task_phase::active || entry.phase == task_phase::done)
+    {
+        // No task will wait for this run, so it is stopped at once.
+        run.orphan_deadline = std::min(*run.orphan_deadline, context.now);
+    }
     if (entry.phase != task_phase::waiting)
     {
         return;
@@ -460,6 +475,7 @@
     for (auto& [id, executor] : executors)
     {
         check_runs(executor, context);
+        send_due_stops(executor, context);
         bool const is_expired =
             !executor.listed && executor.runs.empty() &&
             context.now >= executor.unlisted_at + unlisted_timeout;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/order_timing.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
@@ -41,16 +42,6 @@
 namespace
 {
 
-/// Answer timeout of a start or stop order. An answer takes a few milliseconds,
-/// and a CPU quota can stall either side for up to 100 ms.
-constexpr duration order_answer_timeout = std::chrono::milliseconds{160};
-
-/// Delay between attempts to stop a run.
-constexpr duration stop_retry_delay = std::chrono::milliseconds{60};
-
-/// Time for which an order without an answer may still arrive.
-constexpr duration late_order_time = std::chrono::seconds{5};
-
 /// Increment of a task's execution number after a refusal as stale, because the
 /// number that an earlier owner used is unknown.
 constexpr std::uint32_t stale_execution_step = 8;
@@ -61,15 +52,6 @@
 constexpr duration first_refusal_delay = std::chrono::milliseconds{200};
 constexpr std::uint32_t max_refusal_doublings = 3;
 
-void forget_old_starts(executor_record& executor, time_point now)
-{
-    std::erase_if(executor.unanswered_starts,
-                  [now](unanswered_start const& start)
-                  {
-                      return start.until <= now;
-                  });
-}
-
 } // namespace
 
 order_id scheduler_state::next_order()
@@ -269,7 +251,7 @@
         auto const refused = run;
         revoke_start(refused);
         remove_run(executor, answer.run);
-        requeue_task(refused);
+        requeue_task(refused, context);
     }
     if (handle_executor_loss(executor, answer.outcome, context))
     {
@@ -283,9 +265,7 @@
         {
             executor.health.record_timeout(context.now);
         }
-        forget_old_starts(executor, context.now);
-        executor.unanswered_starts.push_back(
-            {run.run, context.now + late_order_time});
+        record_unanswered_start(executor, run.run, context);
         request_stop(executor, run, context);
         return;
     case order_outcome::not_sent:
@@ -311,7 +291,7 @@
     }
     auto const record = run;
     remove_run(executor, answer.run);
-    requeue_task(record);
+    requeue_task(record, context);
     if (auto const job = jobs.find(answer.run.task.job);
         job != jobs.end() && !record.orphan_deadline &&
         has_task(job->second, answer.run.task) &&
@@ -331,6 +311,7 @@
 void scheduler_state::stop_answered(order_answer const& answer,
                                     scheduler_context& context)
 {
+    record_repeated_stop(answer, context.now);
     auto const answered = find_answered(answer, context.now);
     if (!answered)
     {
@@ -400,38 +381,13 @@
     }
     confirm_crashes(executor, context);
     executor.last_uncertain_order = order_id{last_order};
-    // The new process may have carried out a start just now. It counts the
-    // lease from then on, as the deadline of the order was on another clock.
-    if (!executor.runs.empty())
-    {
-        executor.lease_expires_at = context.now + lease_expiry_time();
-    }
+    // The new process may have carried out a start, also of an earlier owner,
+    // just now. It counts the lease from then on, as the deadline of the order
+    // was on another clock.
+    executor.lease_expires_at = context.now + lease_expiry_time();
     repeat_stops(executor, context);
 }
 
-void scheduler_state::repeat_stops(executor_record& executor,
-                                   scheduler_context& context)
-{
-    for (auto& run : executor.runs)
-    {
-        if (run.phase == run_phase::stop_accepted)
-        {
-            run.phase = run_phase::stopping;
-            request_stop(executor, run, context);
-        }
-    }
-    forget_old_starts(executor, context.now);
-    for (auto const& start : executor.unanswered_starts)
-    {
-        if (find_run(executor, start.run) == nullptr)
-        {
-            context.out.emplace_back(stop_run{next_order(), executor.id,
-                                              start.run, token,
-                                              order_answer_timeout});
-        }
-    }
-}
-
 bool scheduler_state::was_sent_to_present_process(
     executor_record const& executor, order_id order)
 {
@@ -468,7 +424,7 @@
     executor.unresponsive = false;
     for (auto const& run : runs)
     {
-        requeue_task(run);
+        requeue_task(run, context);
     }
     confirm_crashes(executor, context);
     if (executor.description.draining)
