Remember a late start whose run has already been stopped

A start could run after the restart of its executor although its stop had been accepted: a run that is stopped before its start times out is removed with the accepted stop, and start_answered ignored the later timeout, so that the start was not among those that are stopped again after a restart. Each start without an answer is now recorded, also without a run; if the executor has restarted since the start was sent, the stop is due at once.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -150,8 +150,8 @@
     /// present process. An earlier process may have answered it and the orders
     /// before it.
     order_id last_uncertain_order;
-    /// Runs that were stopped after their start got no answer, until the start
-    /// can no longer arrive.
+    /// Starts that got no answer, until they can no longer arrive; their runs
+    /// are stopped.
     std::vector<unanswered_start> unanswered_starts;
     std::optional<order_id> poll;
     time_point poll_sent_at{};
@@ -441,9 +441,7 @@
     /// stopped, as their starts may still arrive.
     void repeat_stops(executor_record& executor, scheduler_context& context);
     /// Remembers a start without an answer, as it may arrive late.
-    static void record_unanswered_start(executor_record& executor,
-                                        task_run const& run,
-                                        scheduler_context& context);
+    void record_unanswered_start(order_answer const& answer, time_point now);
     /// Sends the due stop orders of starts without a recorded run.
     void send_due_stops(executor_record& executor, scheduler_context& context);
     /// Ends or continues the stop orders of a start without an answer.
--- a/src/core/leasing/scheduler_late_starts.cpp
+++ b/src/core/leasing/scheduler_late_starts.cpp
@@ -23,13 +23,25 @@
 
 } // namespace
 
-void scheduler_state::record_unanswered_start(executor_record& executor,
-                                              task_run const& run,
-                                              scheduler_context& context)
+// The run may have been removed after an accepted stop. That stop and the start
+// were sent to an earlier process if the executor has restarted since.
+void scheduler_state::record_unanswered_start(order_answer const& answer,
+                                              time_point now)
 {
-    forget_old_starts(executor, context.now);
+    auto const found = executors.find(answer.executor);
+    if (!owner || found == executors.end())
+    {
+        return;
+    }
+    auto& executor = found->second;
+    forget_old_starts(executor, now);
+    std::optional<time_point> stop_due;
+    if (!was_sent_to_present_process(executor, answer.order))
+    {
+        stop_due = now;
+    }
     executor.unanswered_starts.push_back(
-        {run, context.now + late_order_time, std::nullopt});
+        {answer.run, now + late_order_time, stop_due});
 }
 
 void scheduler_state::repeat_stops(executor_record& executor,
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -217,6 +217,10 @@
 void scheduler_state::start_answered(order_answer const& answer,
                                      scheduler_context& context)
 {
+    if (answer.outcome == order_outcome::unanswered)
+    {
+        record_unanswered_start(answer, context.now);
+    }
     auto const answered = find_answered(answer, context.now);
     if (!answered)
     {
@@ -265,7 +269,6 @@
         {
             executor.health.record_timeout(context.now);
         }
-        record_unanswered_start(executor, run.run, context);
         request_stop(executor, run, context);
         return;
     case order_outcome::not_sent:
