Ignore answers to orders before a loss or a takeover

An executor counted as claimed by an answer of the process at its earlier address, or by an answer to a poll of an earlier ownership, so that tasks started before its runs were known. Only a restart set last_uncertain_order. lose_executor and take_over now set it too.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -147,8 +147,8 @@
     time_point lease_expires_at{};
     std::uint64_t acknowledged = 0;
     /// Last order that was sent before this instance knew of the executor's
-    /// present process. An earlier process may have answered it and the orders
-    /// before it.
+    /// present process or took ownership. An earlier process may have answered
+    /// it and the orders before it, or the token may have been an earlier one.
     order_id last_uncertain_order;
     /// Starts that got no answer, until they can no longer arrive; their runs
     /// are stopped.
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -48,6 +48,7 @@
         executor.fenced = false;
         executor.poll.reset();
         executor.next_poll_at = now;
+        executor.last_uncertain_order = order_id{state_.last_order};
         executor.lease_expires_at = now + state_.lease_expiry_time();
         state_.send_poll(executor, context);
     }
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -420,6 +420,7 @@
     {
         return;
     }
+    executor.last_uncertain_order = order_id{last_order};
     auto const runs = std::exchange(executor.runs, {});
     executor.used = {};
     executor.clock.reset();
