--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -148,11 +148,11 @@
     time_point lease_expires_at{};
     std::uint64_t acknowledged = 0;
     /// Last order that was sent before this instance knew of the executor's
-    /// present process. An earlier process may have answered it and the orders
-    /// before it.
+    /// present process or took ownership. An earlier process may have answered
+    /// it and the orders before it, or the token may have been an earlier one.
     order_id last_uncertain_order;
-    /// Runs that were stopped after their start got no answer, until the start
-    /// can no longer arrive.
+    /// Starts that got no answer, until they can no longer arrive; their runs
+    /// are stopped.
     std::vector<unanswered_start> unanswered_starts;
     std::optional<order_id> poll;
     time_point poll_sent_at{};
@@ -326,8 +326,6 @@
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
     std::uint64_t last_order = 0;
-    /// Last order before the current term.
-    std::uint64_t last_earlier_order = 0;
     owner_probe probe;
     std::optional<time_point> probed_at;
     std::map<executor_id, executor_record> executors;
@@ -452,9 +450,7 @@
     /// stopped, as their starts may still arrive.
     void repeat_stops(executor_record& executor, scheduler_context& context);
     /// Remembers a start without an answer, as it may arrive late.
-    static void record_unanswered_start(executor_record& executor,
-                                        task_run const& run,
-                                        scheduler_context& context);
+    void record_unanswered_start(order_answer const& answer, time_point now);
     /// Sends the due stop orders of starts without a recorded run.
     void send_due_stops(executor_record& executor, scheduler_context& context);
     /// Ends or continues the stop orders of a start without an answer.
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -38,7 +38,6 @@
     state_.fenced = false;
     state_.token = token;
     state_.owner_since = now;
-    state_.last_earlier_order = state_.last_order;
     state_.roster_known = roster_known;
     scheduler_log_event log_event{.event = "ownership_taken"};
     log_event.count = state_.executors.size();
@@ -49,6 +48,7 @@
         executor.fenced = false;
         executor.poll.reset();
         executor.next_poll_at = now;
+        executor.last_uncertain_order = order_id{state_.last_order};
         executor.lease_expires_at = now + state_.lease_expiry_time();
         state_.send_poll(executor, context);
     }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -106,7 +106,7 @@
         return;
     }
     auto const found = executors.find(answer.executor);
-    if (found == executors.end() || answer.order.value() <= last_earlier_order)
+    if (found == executors.end())
     {
         return;
     }
