Split the records of executors and jobs from the scheduler's state

Change: the records have headers of their own, and the adoption of runs is with the rest of the inheritance. No logic changes.

--- /dev/null
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "goldcrestgate/core/leasing/job_messages.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace goldcrestgate::core::detail
+{
+
+/// State of a task.
+enum class task_phase : std::uint8_t
+{
+    /// Waits for earlier groups.
+    blocked,
+    waiting,
+    active,
+    done
+};
+
+struct task_record
+{
+    task_phase phase = task_phase::blocked;
+    std::uint16_t failures = 0;
+    std::uint32_t last_execution = 0;
+    std::optional<executor_id> failed_on;
+    /// Executor on which the task last failed or was too slow.
+    std::optional<executor_id> avoided;
+};
+
+struct group_record
+{
+    std::uint16_t done = 0;
+    std::uint16_t waiting = 0;
+    std::vector<task_record> tasks;
+};
+
+struct job_record
+{
+    leased_job job;
+    instance_id origin;
+    time_point due{};
+    time_point deadline{};
+    duration critical_path_time{};
+    std::vector<group_record> groups;
+    /// Whether a task may have started under an earlier owner or an earlier
+    /// submission of the job.
+    bool inherited = false;
+    /// Start orders of this owner that no executor has definitely refused.
+    std::uint32_t unrefused_starts = 0;
+    /// Whether runs of an earlier owner may exist on executors that are not
+    /// claimed yet.
+    bool awaits_claims = false;
+    /// Time at which the runs on executors that are not claimed have ended,
+    /// also if an earlier owner is alive.
+    time_point unknown_runs_end{};
+    /// Set when the caller has disconnected or its instance is lost; the job's
+    /// runs are stopped at this time.
+    std::optional<time_point> cancel_at;
+    /// Whether the job is only cancelled because its instance seems lost.
+    bool origin_lost = false;
+
+    /// Whether a task may have started.
+    [[nodiscard]] bool started() const
+    {
+        return inherited || unrefused_starts > 0;
+    }
+};
+
+/// @brief Returns whether the job has a task at this position. A run of an
+/// ended job may be known while a job of another shape is submitted under the
+/// same id.
+[[nodiscard]] inline bool has_task(job_record const& job,
+                                   leased_task const& task)
+{
+    return task.group < job.groups.size() &&
+           task.index < job.groups[task.group].tasks.size();
+}
+
+/// @brief Verdict of an ended job, repeated when the job is offered again.
+struct retained_verdict
+{
+    job_verdict verdict;
+    time_point expires_at{};
+};
+
+} // namespace goldcrestgate::core::detail
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -26,11 +26,6 @@
 constexpr duration other_incarnation_retry_delay =
     std::chrono::milliseconds{1000};
 
-/// Time for which a run of an earlier owner is kept after it is first listed,
-/// until its job is offered again; instances offer it within one or two
-/// heartbeats.
-constexpr duration orphan_timeout = std::chrono::milliseconds{400};
-
 /// Factor for the clock drift between this instance and an executor, whose
 /// clock may be 2% slow. The rest of the factor and the margin cover the
 /// network delay of the order.
@@ -203,110 +198,6 @@
     executor.next_poll_at = context.now + poll_retry_delay;
 }
 
-run_record& scheduler_state::add_listed_run(executor_record& executor,
-                                            task_run const& run, time_point now,
-                                            time_point orphan_deadline)
-{
-    auto& added = executor.runs.emplace_back();
-    added.run = run;
-    added.phase = run_phase::running;
-    added.sent_at = now;
-    added.confirmed_at = now;
-    added.orphan_deadline = orphan_deadline;
-    return added;
-}
-
-void scheduler_state::claim_answered(executor_record& executor,
-                                     poll_answer const& answer,
-                                     scheduler_context& context)
-{
-    executor.claimed = true;
-    executor.fenced = false;
-    scheduler_log_event log_event{.event = "executor_claimed",
-                                  .executor = executor.id};
-    log_event.count = answer.running.size();
-    log_event.run_time = context.now - owner_since;
-    context.out.emplace_back(log_event);
-    for (auto const& listed : answer.running)
-    {
-        if (find_run(executor, listed.run) != nullptr)
-        {
-            continue;
-        }
-        add_listed_run(executor, listed.run, context.now,
-                       context.now + orphan_timeout);
-    }
-    for (auto& run : executor.runs)
-    {
-        auto const job = jobs.find(run.run.task.job);
-        if (job != jobs.end())
-        {
-            adopt_run(job->second, executor, run, context);
-        }
-    }
-}
-
-void scheduler_state::adopt_runs(job_record& job, scheduler_context& context)
-{
-    for (auto& [id, executor] : executors)
-    {
-        for (auto& run : executor.runs)
-        {
-            if (run.run.task.job == job.job.id)
-            {
-                adopt_run(job, executor, run, context);
-            }
-        }
-    }
-    complete_done_tasks(job, context);
-}
-
-void scheduler_state::adopt_run(job_record& job, executor_record& executor,
-                                run_record& run, scheduler_context& context)
-{
-    auto const& task = run.run.task;
-    if (!run.orphan_deadline || !has_task(job, task))
-    {
-        return;
-    }
-    auto& group = job.groups[task.group];
-    auto& entry = group.tasks[task.index];
-    if (entry.phase == task_phase::blocked)
-    {
-        complete_preceding_groups(job, task.group);
-    }
-    if (entry.phase == task_phase::active || entry.phase == task_phase::done)
-    {
-        // No task will wait for this run, so it is stopped at once.
-        run.orphan_deadline = std::min(*run.orphan_deadline, context.now);
-    }
-    if (entry.phase != task_phase::waiting)
-    {
-        return;
-    }
-    auto const& group_spec = job.job.groups[task.group];
-    entry.phase = task_phase::active;
-    entry.last_execution = std::max(entry.last_execution, run.run.execution);
-    --group.waiting;
-    job.inherited = true;
-    run.orphan_deadline.reset();
-    run.isolated = crashes.is_suspect(task);
-    if (run.amounts == resource_amounts{})
-    {
-        run.amounts = group_spec.each_task;
-        executor.used += run.amounts;
-    }
-    run.estimate = duration{};
-    run.expected_run_time = scale_duration(
-        group_spec.estimate, expected_slowdown(executor, group_spec));
-    scheduler_log_event log_event{.event = "run_adopted",
-                                  .job = job.job.id,
-                                  .run = run.run,
-                                  .executor = executor.id};
-    log_event.slack = job.due - context.now;
-    context.out.emplace_back(log_event);
-}
-
 void scheduler_state::apply_finished_runs(executor_record& executor,
                                           poll_answer const& answer,
                                           scheduler_context& context)
