--- a/tests/support/scripted_owner.hpp
+++ b/tests/support/scripted_owner.hpp
@@ -122,7 +122,7 @@
     core::start_run lose_first_start()
     {
         offer();
-        auto const first = starts.at(0);
+        auto first = starts.at(0);
         now += std::chrono::milliseconds{160};
         answer_start(first, core::order_outcome::unanswered);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
--- a/tests/unit/restart_refused_start.cpp
+++ b/tests/unit/restart_refused_start.cpp
@@ -38,7 +38,7 @@
     static start_run list_late_run(scripted_owner& owner)
     {
         owner.prepare();
-        auto const first = owner.lose_first_start();
+        auto first = owner.lose_first_start();
         owner.now += milliseconds{5};
         owner.answer_poll(first.executor, owner.polls.at(first.executor).order,
                           2, {{first.run, 5}});
