--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestgate/core/leasing/executor_health.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
+#include "goldcrestgate/core/leasing/owner_probe.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
 #include "goldcrestgate/core/leasing/scheduler_actions.hpp"
 #include "goldcrestgate/core/leasing/serving_order.hpp"
@@ -238,6 +239,9 @@
     /// Whether runs of an earlier owner may exist on executors that are not
     /// claimed yet.
     bool awaits_claims = false;
+    /// Time at which the runs on executors that are not claimed have ended,
+    /// also if an earlier owner is alive.
+    time_point unknown_runs_end{};
     /// Set when the caller has disconnected or its instance is lost; the job's
     /// runs are stopped at this time.
     std::optional<time_point> cancel_at;
@@ -322,9 +326,14 @@
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
     std::uint64_t last_order = 0;
+    owner_probe probe;
+    std::optional<time_point> probed_at;
     std::map<executor_id, executor_record> executors;
     std::unordered_map<client_job_id, job_record> jobs;
     std::unordered_map<client_job_id, retained_verdict> retained_verdicts;
+    /// Tasks that ended `done` without a known job, and when they are
+    /// forgotten.
+    std::map<leased_task, time_point> done_tasks;
     speed_model speeds;
     crash_ledger crashes;
 
@@ -477,6 +486,8 @@
                                 scheduler_context& context);
 
     // leases
+    /// Polls a sample of the executors with the token of a silent owner.
+    void probe_owner(fencing_token silent_token, scheduler_context& context);
     /// Sends a poll.
     /// @param acknowledged last finished run that the executor may drop. Only a
     /// poll that follows an answer at once, or the first start on an idle
@@ -503,6 +514,19 @@
     /// unexpectedly, and stops those of other tasks.
     void adopt_or_stop_orphans(executor_record& executor,
                                scheduler_context& context);
+    /// Delays the starts of a job that an earlier owner may have started until
+    /// its runs are known.
+    void await_claims(job_record& job, time_point now) const;
+    /// Records a task that ended `done` under an earlier owner or an earlier
+    /// submission of its job.
+    void note_done_task(leased_task const& task, scheduler_context& context);
+    /// Marks the waiting tasks of a job that are recorded as done.
+    void complete_done_tasks(job_record& job, scheduler_context& context);
+    [[nodiscard]] static bool is_complete(job_record const& job);
+    /// Unblocks the tasks of the groups whose preceding groups are done.
+    static void unblock_groups(job_record& job);
+    /// Marks the tasks of the groups before a group as done.
+    static void complete_preceding_groups(job_record& job, std::uint16_t group);
     void adopt_runs(job_record& job, scheduler_context& context);
     /// Makes the job responsible for a run that an earlier owner or an earlier
     /// submission of the job started.
@@ -536,6 +560,8 @@
                                             time_point now) const;
     void tick(scheduler_context& context);
     [[nodiscard]] bool claims_complete(time_point now) const;
+    /// Whether no executor can have a run that is not listed here.
+    [[nodiscard]] bool all_runs_known() const;
     [[nodiscard]] duration lease_expiry_time() const;
     [[nodiscard]] bool accepts(executor_record const& executor,
                                time_point now) const;
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -152,8 +152,7 @@
     auto& open = found->second;
     if (received.outcome == job_outcome::not_owner)
     {
-        open.owner.reset();
-        open.without_owner_since = now;
+        owner_refused(open, now);
         return;
     }
     if (received.outcome != job_outcome::rejected)
@@ -177,6 +176,24 @@
            "overloaded", now, out);
 }
 
+// The answer to the only offer of a job shows that nothing has started. After
+// several offers, an earlier one may have been accepted, so the job stays bound
+// to the failure domain.
+void job_gateway::owner_refused(open_job& open, time_point now)
+{
+    if (!open.resumed)
+    {
+        open.owner.reset();
+        open.without_owner_since = now;
+        return;
+    }
+    open.refused = true;
+    if (!open.without_owner_since)
+    {
+        open.without_owner_since = now;
+    }
+}
+
 // A job stays in the failure domain where it was first offered, because only
 // the successor of a lost owner can learn which runs exist.
 void job_gateway::update_owner(open_job& open,
@@ -190,7 +207,14 @@
     }
     auto const current =
         std::ranges::find(owners, open.owner->domain, &owner_view::domain);
-    if (current == owners.end())
+    bool const same_term = current != owners.end() &&
+                           current->instance == open.owner->instance &&
+                           current->term == open.owner->term;
+    // The heartbeat that shows the end of the term may arrive after the
+    // refusal.
+    bool const has_owner =
+        current != owners.end() && !(same_term && open.refused);
+    if (!has_owner)
     {
         open.resumed = true;
         if (!open.without_owner_since)
@@ -199,18 +223,21 @@
         }
         return;
     }
-    bool const unchanged = !open.without_owner_since &&
-                           current->instance == open.owner->instance &&
-                           current->term == open.owner->term;
-    if (unchanged)
+    if (same_term && !open.without_owner_since)
     {
         return;
     }
+    if (current->instance != open.owner->instance)
+    {
+        out.emplace_back(send_withdrawal{open.owner->instance, {open.job.id}});
+    }
     open.resumed = true;
+    open.moved = open.moved || !same_term;
     open.without_owner_since.reset();
     open.owner = *current;
-    out.emplace_back(
-        send_offer{current->instance, {open.job, now - open.arrived, true}});
+    open.refused = false;
+    out.emplace_back(send_offer{
+        current->instance, {open.job, now - open.arrived, true, !open.moved}});
 }
 
 void job_gateway::tick(std::span<owner_view const> owners, time_point now,
@@ -266,8 +293,8 @@
         if (open.owner && open.owner->instance == owner)
         {
             open.resumed = true;
-            out.emplace_back(
-                send_offer{owner, {open.job, now - open.arrived, true}});
+            out.emplace_back(send_offer{
+                owner, {open.job, now - open.arrived, true, !open.moved}});
         }
     }
 }
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -68,6 +68,7 @@
     state_.fenced = false;
     state_.jobs.clear();
     state_.retained_verdicts.clear();
+    state_.done_tasks.clear();
     for (auto& [id, executor] : state_.executors)
     {
         executor.claimed = false;
@@ -80,6 +81,16 @@
     }
 }
 
+void job_scheduler::probe_owner(fencing_token token, time_point now,
+                                std::vector<scheduler_action>& out)
+{
+    scheduler_context context{now, out};
+    if (!state_.owner)
+    {
+        state_.probe_owner(token, context);
+    }
+}
+
 void job_scheduler::suspend(bool suspended, time_point now,
                             std::vector<scheduler_action>& out)
 {
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -64,6 +64,15 @@
                                });
 }
 
+bool scheduler_state::all_runs_known() const
+{
+    return roster_known && std::ranges::all_of(executors,
+                                               [](auto const& entry)
+                                               {
+                                                   return entry.second.claimed;
+                                               });
+}
+
 void scheduler_state::send_poll(executor_record& executor,
                                 scheduler_context& context,
                                 std::uint64_t acknowledged)
@@ -91,8 +100,13 @@
 void scheduler_state::poll_answered(poll_answer const& answer,
                                     scheduler_context& context)
 {
+    if (!owner)
+    {
+        probe.answered(answer, context.now);
+        return;
+    }
     auto const found = executors.find(answer.executor);
-    if (!owner || found == executors.end())
+    if (found == executors.end())
     {
         return;
     }
@@ -244,6 +258,7 @@
             }
         }
     }
+    complete_done_tasks(job, context);
 }
 
 void scheduler_state::adopt_run(job_record& job, executor_record& executor,
@@ -256,6 +271,10 @@
     }
     auto& group = job.groups[task.group];
     auto& entry = group.tasks[task.index];
+    if (entry.phase == task_phase::blocked)
+    {
+        complete_preceding_groups(job, task.group);
+    }
     if (entry.phase == task_phase::active || entry.phase == task_phase::done)
     {
         // No task will wait for this run, so it is stopped at once.
@@ -302,6 +321,10 @@
         auto const* const run = find_run(executor, finished.run);
         if (run == nullptr)
         {
+            if (finished.end == run_end::done)
+            {
+                note_done_task(finished.run.task, context);
+            }
             continue;
         }
         auto const record = *run;
