--- a/src/core/leasing/owner_probe.cpp
+++ b/src/core/leasing/owner_probe.cpp
@@ -14,8 +14,9 @@
 /// them get a new run between two polls.
 constexpr std::size_t sample_size = 16;
 
-/// Validity of a sign of life; polls are sent every 100 ms.
-constexpr duration sign_validity = std::chrono::milliseconds{500};
+/// Time for which an observed order or refusal counts as recent; polls are sent
+/// every 100 ms.
+constexpr duration observation_validity = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -75,12 +76,12 @@
 
 bool owner_probe::owner_lives(time_point now) const
 {
-    return order_seen_at_ && now - *order_seen_at_ < sign_validity;
+    return order_seen_at_ && now - *order_seen_at_ < observation_validity;
 }
 
 bool owner_probe::token_refused(time_point now) const
 {
-    return refused_at_ && now - *refused_at_ < sign_validity;
+    return refused_at_ && now - *refused_at_ < observation_validity;
 }
 
 } // namespace goldcrestgate::core
