--- a/tests/failure/test_leased_soak.py
+++ b/tests/failure/test_leased_soak.py
@@ -23,6 +23,8 @@
 REGRESSION_SEEDS = {
     308: "an executor restarted and accepted a start before its owner learned "
          "of the restart; the owner started the task again elsewhere",
+    447: "a start without an answer was stopped, its executor restarted, and the "
+         "new process carried the start out before the owner learned of it",
 }
 
 
