Keep the racks of the probed executors alive while they are chosen

Cause: the conditional between a literal and a string made a temporary string, and the list of candidates kept a view of it. An instance that no longer hears from its owner read freed stack memory; racks were compared with what was there. Change: views of the labels themselves; no other view of a temporary of this form is kept.

--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -44,7 +44,9 @@
     for (auto const& [id, executor] : executors)
     {
         auto const& labels = executor.description.labels;
-        candidates.emplace_back(id, labels.empty() ? "" : labels.back());
+        candidates.emplace_back(id, labels.empty()
+                                        ? std::string_view{}
+                                        : std::string_view{labels.back()});
     }
     for (auto const id : owner_probe::choose(candidates))
     {
