Confirm crashes in one place

Cause: count_crash and confirm_crashes each had the confirmation of a crash, its log line and the end of the job. Change: both call confirm_crash; no behaviour changes.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -254,6 +254,9 @@
     /// Counts a certain crash.
     void count_crash(executor_record const& executor, task_run const& run,
                      bool alone, scheduler_context& context);
+    /// Confirms one suspected crash; ends the job if it identifies the task.
+    void confirm_crash(executor_record const& executor, task_run const& run,
+                       bool alone, scheduler_context& context);
     /// Ends the job of a task that crashes its executors.
     void end_crash_looping_job(client_job_id id, scheduler_context& context);
     /// Counts a possible crash under each waiting task of an inherited job if
--- a/src/core/leasing/scheduler_crashes.cpp
+++ b/src/core/leasing/scheduler_crashes.cpp
@@ -63,15 +63,7 @@
     for (auto const& [run, alone] :
          std::exchange(executor.unconfirmed_crashes, {}))
     {
-        crashes.confirm(run.task, alone, context.now);
-        auto log_event =
-            make_crash_event("crash_counted", executor.id, run, alone);
-        log_event.count = crashes.counts(run.task).confirmed.crashes;
-        context.out.emplace_back(log_event);
-        if (crashes.is_crash_looping(run.task))
-        {
-            end_crash_looping_job(run.task.job, context);
-        }
+        confirm_crash(executor, run, alone, context);
     }
 }
 
@@ -94,6 +86,13 @@
                                   scheduler_context& context)
 {
     crashes.suspect(run.task, alone, context.now);
+    confirm_crash(executor, run, alone, context);
+}
+
+void scheduler_state::confirm_crash(executor_record const& executor,
+                                    task_run const& run, bool alone,
+                                    scheduler_context& context)
+{
     crashes.confirm(run.task, alone, context.now);
     auto log_event = make_crash_event("crash_counted", executor.id, run, alone);
     log_event.count = crashes.counts(run.task).confirmed.crashes;
