Simulate late orders of all kinds and executors that are down

Cause: the simulated executors delayed starts only. The platform may carry out any order without an answer seconds later, also on a process that has restarted under the same id. Change: stops and polls can be late too, by executor or by a function for each order; an executor can be down for a time; a start that is refused as stale or for lack of room renews the lease, and a start of a run that is already there is accepted, as the protocol says. Duplicate runs of late starts, and starts after an end that was acknowledged under an unbroken lease, are counted beside the existing counts. An owner of the simulation can pause and unlist executors.

--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -28,12 +28,23 @@
     bool ignores_capacity = false;
     /// Another executor answers at its address.
     bool replaced = false;
-    /// Start orders get no answer and take effect after this delay.
+    /// Orders of a kind get no answer and are carried out after this delay, by
+    /// the process that then runs and also while the executor is unreachable.
     std::optional<core::duration> start_delay;
+    std::optional<core::duration> stop_delay;
+    std::optional<core::duration> poll_delay;
     /// Additional delay of the answers to polls.
     core::duration poll_answer_delay{};
 };
 
+/// Kinds of orders to a simulated executor.
+enum class order_kind : std::uint8_t
+{
+    start,
+    stop,
+    poll
+};
+
 /// @brief Simulates executors in virtual time: capacity, leases, fencing tokens
 /// and lists of running and finished runs, as in the platform's protocol.
 ///
@@ -82,6 +93,14 @@
     /// the new process; polls that wait get no answer.
     void restart(core::executor_id id);
 
+    /// @brief Ends an executor's process; a new one starts after the given
+    /// time. Orders that arrive in between are lost.
+    /// @pre the executor is not down
+    void restart(core::executor_id id, core::duration down_time);
+
+    /// @brief Returns whether an executor has no process.
+    [[nodiscard]] bool is_down(core::executor_id id) const;
+
     /// @brief Makes a task crash each executor that starts it. The executor is
     /// unreachable from then on and comes back as a new process.
     void set_crashing(core::leased_task const& task);
@@ -130,12 +149,21 @@
     std::size_t starts_over_capacity = 0;
     /// Number of starts of a task that already had a run.
     std::size_t duplicate_runs = 0;
+    /// Number of these starts in which the run or the start beside it was
+    /// carried out after its answer timeout.
+    std::size_t duplicate_runs_of_late_starts = 0;
     /// Number of starts of a task after an owner acknowledged its end as done.
     std::size_t starts_after_end = 0;
+    /// Number of these starts without those after an end whose executor had no
+    /// lease at some time until the acknowledgement, which does not count then.
+    std::size_t starts_after_leased_end = 0;
     /// Number of starts refused because the executor had no capacity.
     std::size_t capacity_refusals = 0;
     /// Number of orders sent so far.
     std::size_t orders_sent = 0;
+    /// Returns the delay of an order that gets no answer, as in @ref
+    /// executor_behaviour; empty for other orders.
+    std::function<std::optional<core::duration>(order_kind)> late_order;
     /// Every n-th order is dropped; 0 drops none.
     std::size_t drop_every_nth_order = 0;
     /// Network delay of an order or an answer in one direction.
@@ -148,6 +176,7 @@
         core::time_point started;
         core::time_point ends;
         core::duration total;
+        bool started_late = false;
     };
 
     struct simulated_executor
@@ -156,11 +185,16 @@
         executor_behaviour behaviour;
         /// Start of the process, at which its clock shows 0.
         core::time_point started_at{};
+        bool down = false;
         std::uint64_t token = 0;
         std::uint64_t last_finished_number = 0;
         core::time_point lease_until{};
+        /// Last time at which a lease expired.
+        core::time_point lease_expired_at{};
         std::vector<simulated_run> runs;
         std::vector<core::finished_run> finished;
+        /// Times of the ends of runs by their numbers.
+        std::map<std::uint64_t, core::time_point> ended_at;
         std::map<core::leased_task, std::uint32_t> highest_ended;
         std::vector<std::function<void()>> waiting_polls;
     };
@@ -173,8 +207,13 @@
     };
 
     [[nodiscard]] simulated_executor& target_of(core::executor_id id);
-    [[nodiscard]] core::order_outcome start(simulated_executor& target,
-                                            core::start_run const& order);
+    [[nodiscard]] core::order_outcome
+    start(simulated_executor& target, core::start_run const& order, bool late);
+    [[nodiscard]] core::order_outcome stop(simulated_executor& target,
+                                           core::stop_run const& order);
+    void count_start(core::start_run const& order, bool late);
+    void renew_lease(simulated_executor& target,
+                     core::executor_clock lease_until);
     [[nodiscard]] core::duration run_time(simulated_executor const& target,
                                           core::leased_task const& task) const;
     /// Renews the lease and forgets the acknowledged ends, when a poll arrives.
@@ -182,6 +221,9 @@
                       core::poll_executor const& order);
     [[nodiscard]] core::poll_answer
     handle_poll(simulated_executor& target, core::poll_executor const& order);
+    /// Returns the delay of an order that gets no answer.
+    [[nodiscard]] std::optional<core::duration>
+    late_delay(std::optional<core::duration> set, order_kind kind) const;
     [[nodiscard]] bool drops_order();
     void end_run(simulated_executor& target, core::task_run const& run,
                  core::run_end end);
@@ -201,6 +243,7 @@
     std::map<core::client_job_id, std::string> data_racks_;
     std::map<core::client_job_id, std::size_t> starts_;
     std::set<core::leased_task> acknowledged_as_done_;
+    std::set<core::leased_task> acknowledged_with_lease_;
     std::map<core::executor_id, core::executor_id> aliases_;
     std::set<core::leased_task> crashing_tasks_;
     std::map<core::leased_task, task_history> histories_;
--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -5,6 +5,9 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace goldcrestgate::tests
 {
 
@@ -40,12 +43,45 @@
     return job;
 }
 
+void fleet_owner::pause(duration time)
+{
+    paused_until_ = std::max(paused_until_, fleet_.now() + time);
+}
+
+bool fleet_owner::paused() const
+{
+    return fleet_.now() < paused_until_;
+}
+
+void fleet_owner::when_resumed(std::function<void()> work)
+{
+    if (!paused())
+    {
+        work();
+        return;
+    }
+    fleet_.schedule(paused_until_ - fleet_.now(),
+                    [this, work = std::move(work)]
+                    {
+                        when_resumed(work);
+                    });
+}
+
 void fleet_owner::tick()
 {
     if (killed_)
     {
         return;
     }
+    if (paused())
+    {
+        when_resumed(
+            [this]
+            {
+                tick();
+            });
+        return;
+    }
     std::vector<scheduler_action> out;
     scheduler.tick(fleet_.now(), out);
     apply(out);
@@ -63,9 +99,22 @@
 
 void fleet_owner::list(executor_id id, executor_description const& description)
 {
-    std::vector<scheduler_action> out;
-    scheduler.list(id, description, fleet_.now(), out);
-    apply(out);
+    when_resumed(
+        [this, id, description]
+        {
+            std::vector<scheduler_action> out;
+            scheduler.list(id, description, fleet_.now(), out);
+            apply(out);
+        });
+}
+
+void fleet_owner::unlist(executor_id id)
+{
+    when_resumed(
+        [this, id]
+        {
+            scheduler.unlist(id, fleet_.now());
+        });
 }
 
 void fleet_owner::list_all()
@@ -105,13 +154,17 @@
     {
         return [this, member](auto const& answer)
         {
-            if (killed_)
-            {
-                return;
-            }
-            std::vector<scheduler_action> out;
-            (scheduler.*member)(answer, fleet_.now(), out);
-            apply(out);
+            when_resumed(
+                [this, member, answer]
+                {
+                    if (killed_)
+                    {
+                        return;
+                    }
+                    std::vector<scheduler_action> out;
+                    (scheduler.*member)(answer, fleet_.now(), out);
+                    apply(out);
+                });
         };
     };
     for (auto const& action : actions)
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -31,6 +31,7 @@
     void list(core::executor_id id);
     void list(core::executor_id id,
               core::executor_description const& description);
+    void unlist(core::executor_id id);
     void take_over(std::uint64_t token, bool roster_known);
     void offer(core::leased_job const& job, bool resumed = false,
                core::instance_id origin = core::instance_id{1},
@@ -46,6 +47,13 @@
         killed_ = true;
     }
 
+    /// @brief Pauses the owner's process: it handles what arrives meanwhile
+    /// after the given time.
+    void pause(core::duration time);
+
+    /// @brief Returns whether the owner's process is paused.
+    [[nodiscard]] bool paused() const;
+
     core::job_scheduler scheduler;
     std::map<core::client_job_id, core::job_verdict> verdicts;
     std::map<core::client_job_id, core::time_point> ended_at;
@@ -60,8 +68,12 @@
 private:
     void tick();
 
+    /// Calls a function now, or after the pause of the owner's process.
+    void when_resumed(std::function<void()> work);
+
     executor_fleet& fleet_;
     bool killed_ = false;
+    core::time_point paused_until_{};
 };
 
 /// @brief Checks that no rejected job has started.
