Leave more time for the progress of a run in a test

unit.late_poll_after_restart cut the executor off 1.3 s after the start of a task of 4 s, just as the list showed 30% of its progress; until then the owner polls every 100 ms and each poll renews the lease that it counts. The cut now comes after 1.5 s and the late poll after 3.1 s.

--- a/tests/unit/late_poll_after_restart.cpp
+++ b/tests/unit/late_poll_after_restart.cpp
@@ -32,8 +32,8 @@
         fleet.run_for(milliseconds{150});
         owner.submit(make_job(1, milliseconds{300}), milliseconds{300});
         fleet.run_for(milliseconds{10});
-        // The polls for the progress of this run arrive 2.9 s late.
-        fleet.behaviour(first).poll_delay = milliseconds{2900};
+        // The polls for the progress of this run arrive 3.1 s late.
+        fleet.behaviour(first).poll_delay = milliseconds{3100};
         fleet.run_for(milliseconds{350});
         fleet.behaviour(first) = {};
         fleet.run_for(milliseconds{600});
@@ -43,7 +43,7 @@
 
         auto const job = make_job(2, milliseconds{4000});
         owner.submit(job, milliseconds{4000});
-        fleet.run_for(milliseconds{1300});
+        fleet.run_for(milliseconds{1500});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(job.id, first));
         owner.list(executor_id{2});
         fleet.behaviour(first).unreachable = true;
