Add a failing test of a refused late start to a restarted executor

What callers saw: two runs of one task at a time. Cause: a start that is refused as stale or for lack of room still renews the lease. The owner repeats the stop of a start without an answer after a restart, but counts no lease for its late arrival. Evidence: fixed schedule in virtual time.

--- /dev/null
+++ b/tests/unit/late_start_after_restart.cpp
@@ -0,0 +1,66 @@
+#include "support/fleet_owner.hpp"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace goldcrestgate;
+using namespace goldcrestgate::core;
+using std::chrono::milliseconds;
+using tests::executor_fleet;
+using tests::fleet_owner;
+
+class late_start_after_restart_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(late_start_after_restart_test);
+    CPPUNIT_TEST(refused_late_start_does_not_outlast_the_counted_lease);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against two runs of a task at a time: a start that was sent to the
+    // earlier process was refused as stale by the new process, which was cut
+    // off, but renewed its lease after the owner had last counted it.
+    void refused_late_start_does_not_outlast_the_counted_lease()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        executor_id const first{1};
+        owner.list(first);
+        owner.take_over(1, true);
+        fleet.run_for(milliseconds{150});
+        fleet.behaviour(first).start_delay = milliseconds{3200};
+        owner.submit(make_job(1, milliseconds{100}), milliseconds{100});
+        fleet.behaviour(first) = {};
+        fleet.run_for(milliseconds{1000});
+        fleet.restart(first);
+        owner.list(first);
+        fleet.run_for(milliseconds{300});
+
+        auto const job = make_job(2, milliseconds{4000});
+        owner.submit(job, milliseconds{4000});
+        fleet.run_for(milliseconds{1500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(job.id, first));
+        owner.list(executor_id{2});
+        fleet.behaviour(first).unreachable = true;
+        fleet.run_for(milliseconds{3000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(client_job_id{1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.starts(job.id));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
+    }
+
+private:
+    static leased_job make_job(std::uint64_t id, duration work)
+    {
+        auto job = tests::make_leased_job(id, 1, work);
+        job.objective = milliseconds{19'000};
+        job.time_limit = milliseconds{19'500};
+        return job;
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_start_after_restart_test,
+                                      "late_start_after_restart");
+
+} // namespace
