Log runs that are listed after their owner gave them up

Seen by callers: nothing; the report of two runs of a task at a time (issue TWICE) came without a record, and the logs could not have told its cause. Cause: a run that an executor lists unexpectedly, an acceptance by a process that the owner does not know and a stop without an answer had no log line, and executor_listed and executor_claimed did not name the process. Change: late_run_found and late_end_found name the run, its process, why it was given up, the time since its start was sent and another recorded run of the task. start_accepted is written for unusual acceptances only, stop_refused for each stop that is not accepted. Metrics late_runs_total and executor_losses_total.

--- a/include/goldcrestgate/app/entry/entry_log.hpp
+++ b/include/goldcrestgate/app/entry/entry_log.hpp
@@ -24,6 +24,12 @@
 [[nodiscard]] log_line to_log_line(core::scheduler_log_event const& log_event,
                                    executor_name_lookup const& name_of);
 
+/// @brief Returns the log line of an executor that was listed or has changed.
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] log_line
+to_log_line(core::executor_description const& description);
+
 /// @brief Returns the log line of an offer to an owner.
 /// @par Thread safety
 /// Safe to call from any thread.
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/detail/executor_record.hpp"
 #include "goldcrestgate/core/leasing/detail/job_record.hpp"
+#include "goldcrestgate/core/leasing/given_up_runs.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
 #include "goldcrestgate/core/leasing/owner_probe.hpp"
@@ -55,6 +56,9 @@
     run_record& run;
 };
 
+/// Reason of a given-up run that an accepted stop has ended.
+inline constexpr std::string_view stop_accepted_reason = "stop_accepted";
+
 /// @brief Lowest and highest slowdown of the usable executors; 1 if there are
 /// none.
 struct slowdown_range
@@ -112,6 +116,7 @@
     std::map<leased_task, time_point> done_tasks;
     speed_model speeds;
     crash_ledger crashes;
+    given_up_runs given_up;
 
     // jobs
     void offer(instance_id origin, job_offer const& offered,
@@ -242,6 +247,28 @@
     lease_end(executor_record& executor, time_point now) const;
     [[nodiscard]] order_id next_order();
 
+    // observations for the log
+    /// Logs an acceptance that is late or that a process other than the
+    /// recorded one may have given, and notes a start without an answer.
+    void observe_start_answer(order_answer const& answer,
+                              scheduler_context& context);
+    /// Logs a stop that was not accepted; the run may go on.
+    static void log_refused_stop(executor_record const& executor,
+                                 run_record const& run, order_outcome outcome,
+                                 scheduler_context& context);
+    /// Notes a run that counts as ended although its end is not listed.
+    void note_given_up(executor_record const& executor, run_record const& run,
+                       std::string_view reason, time_point now);
+    /// Logs the listed runs and ends that are not recorded.
+    /// @pre the answer is not applied yet
+    /// @param list_is_latest whether the answer is to the latest poll; a list
+    /// that is older may name runs that have ended since
+    void log_late_runs(executor_record& executor, poll_answer const& answer,
+                       bool list_is_latest, scheduler_context& context) const;
+    void log_late_run(executor_record const& executor, task_run const& run,
+                      std::string_view event, poll_answer const& answer,
+                      scheduler_context& context) const;
+
     // crashes
     /// Counts a possible crash under the runs of a silent executor.
     void suspect_crash(executor_record& executor,
--- a/include/goldcrestgate/core/leasing/scheduler_actions.hpp
+++ b/include/goldcrestgate/core/leasing/scheduler_actions.hpp
@@ -31,6 +31,31 @@
     std::uint64_t runs_kept = 0;
 };
 
+/// @brief A run that an executor lists although its owner counted it as ended
+/// or never knew it.
+struct late_run
+{
+    /// Why the owner counted the run as ended, as a stable snake_case word:
+    /// start_unanswered, stop_accepted, lease_expired or executor_lost; empty
+    /// if it did not know the run.
+    std::string_view given_up{};
+    /// Time since its start was sent, if known.
+    std::optional<duration> since_sent{};
+    /// Executor and execution of another recorded run of the task, if any: two
+    /// runs of the task may go on at the same time.
+    std::optional<executor_id> other_executor{};
+    std::uint32_t other_execution = 0;
+};
+
+/// @brief Returns why a late run counted as ended, `not_known` if the owner did
+/// not know it.
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] inline std::string_view given_up_name(late_run const& late)
+{
+    return late.given_up.empty() ? "not_known" : late.given_up;
+}
+
 /// @brief Scheduler event for the log.
 struct scheduler_log_event
 {
@@ -52,6 +77,10 @@
     std::uint64_t waiting = 0;
     /// Set if the event is the loss or the restart of an executor.
     std::optional<executor_change> change{};
+    /// Process of the executor, if the event tells it; 0 if it is not known.
+    std::optional<std::uint64_t> incarnation{};
+    /// Set if the event is a late run.
+    std::optional<late_run> late{};
 };
 
 /// Action that a scheduler requests.
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -169,10 +169,7 @@
                scheduler_.list(id, description, loop_.now(), out);
                apply(out);
                roster_changed_ = true;
-               log_.write(log_line{log_level::info, "executor_listed"}
-                              .text("executor", description.name)
-                              .text("address", description.address)
-                              .flag("draining", description.draining));
+               log_.write(to_log_line(description));
            },
            [this](core::executor_id id)
            {
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -13,16 +13,35 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
-log_level level_of(std::string_view event)
+log_level level_of(core::scheduler_log_event const& log_event)
 {
+    auto const event = log_event.event;
     bool const is_warning =
-        event == "start_refused" || event == "run_stalled" ||
-        event == "executor_silent" || event == "executor_lost" ||
-        event == "ownership_given_up" || event == "crash_counted" ||
-        event == "task_given_up";
+        event == "start_refused" || event == "stop_refused" ||
+        event == "run_stalled" || event == "executor_silent" ||
+        event == "executor_lost" || event == "ownership_given_up" ||
+        event == "crash_counted" || event == "task_given_up" ||
+        event == "start_accepted" ||
+        (log_event.late && log_event.late->other_executor);
     return is_warning ? log_level::warning : log_level::info;
 }
 
+void add_late_run(log_line& line, core::late_run const& late,
+                  executor_name_lookup const& name_of)
+{
+    line.text("given_up", core::given_up_name(late));
+    if (late.since_sent)
+    {
+        line.number("since_sent_ms", to_ms(*late.since_sent));
+    }
+    line.flag("active_elsewhere", late.other_executor.has_value());
+    if (late.other_executor)
+    {
+        line.text("other_executor", name_of(*late.other_executor))
+            .number("other_execution", late.other_execution);
+    }
+}
+
 } // namespace
 
 std::string format_instance(core::instance_id id)
@@ -42,7 +61,7 @@
 log_line to_log_line(core::scheduler_log_event const& log_event,
                      executor_name_lookup const& name_of)
 {
-    log_line line{level_of(log_event.event), log_event.event};
+    log_line line{level_of(log_event), log_event.event};
     if (log_event.job != core::client_job_id{})
     {
         line.text("job", adapter::format_job_id(log_event.job));
@@ -70,12 +89,32 @@
                     static_cast<std::int64_t>(change->incarnation))
             .number("runs_kept", static_cast<std::int64_t>(change->runs_kept));
     }
+    if (log_event.incarnation)
+    {
+        line.number("incarnation",
+                    static_cast<std::int64_t>(*log_event.incarnation));
+    }
+    if (log_event.late)
+    {
+        add_late_run(line, *log_event.late, name_of);
+    }
     return line.number("slack_ms", to_ms(log_event.slack))
         .number("run_ms", to_ms(log_event.run_time))
         .number("count", static_cast<std::int64_t>(log_event.count))
         .number("waiting", static_cast<std::int64_t>(log_event.waiting));
 }
 
+log_line to_log_line(core::executor_description const& description)
+{
+    log_line line{log_level::info, "executor_listed"};
+    line.text("executor", description.name)
+        .text("address", description.address)
+        .flag("draining", description.draining)
+        .number("incarnation",
+                static_cast<std::int64_t>(description.incarnation));
+    return line;
+}
+
 log_line to_log_line(core::send_offer const& offer)
 {
     auto const& job = offer.offer.job;
--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -86,6 +86,8 @@
     std::map<label_pair, std::uint64_t> answers;
     std::map<label_pair, std::uint64_t> decisions;
     std::map<label_pair, std::uint64_t> orders;
+    std::map<label_pair, std::uint64_t> executor_losses;
+    std::map<label_pair, std::uint64_t> late_runs;
     std::map<std::uint16_t, std::uint64_t> statuses;
     time_histogram response_time;
     time_histogram rejection_time;
@@ -116,6 +118,16 @@
 void entry_metrics::count_decision(core::scheduler_log_event const& log_event)
 {
     ++state_->decisions[{log_event.event, log_event.reason}];
+    if (log_event.change)
+    {
+        ++state_->executor_losses[{log_event.reason, log_event.change->source}];
+    }
+    if (log_event.late)
+    {
+        ++state_
+              ->late_runs[{core::given_up_name(*log_event.late),
+                           log_event.late->other_executor ? "true" : "false"}];
+    }
 }
 
 void entry_metrics::count_order_outcome(std::string_view order,
@@ -152,6 +164,10 @@
     append_counters(out, "decisions_total", {"event", "reason"},
                     state_->decisions);
     append_counters(out, "orders_total", {"order", "outcome"}, state_->orders);
+    append_counters(out, "executor_losses_total", {"reason", "source"},
+                    state_->executor_losses);
+    append_counters(out, "late_runs_total", {"given_up", "active_elsewhere"},
+                    state_->late_runs);
     out += "# TYPE goldcrestgate_responses_total counter\n";
     for (auto const& [status, count] : state_->statuses)
     {
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -165,6 +165,7 @@
                                   .executor = executor.id};
     log_event.count = answer.running.size();
     log_event.run_time = context.now - owner_since;
+    log_event.incarnation = executor.description.incarnation;
     context.out.emplace_back(log_event);
     for (auto const& listed : answer.running)
     {
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -149,6 +149,7 @@
     record_clock(executor, answer.clock, context.now);
     executor.unresponsive = false;
     executor.health.record_answer();
+    log_late_runs(executor, answer, is_latest, context);
     if (!executor.claimed)
     {
         claim_answered(executor, answer, context);
@@ -349,6 +350,9 @@
     }
     for (auto const& run : ended)
     {
+        note_given_up(executor, run,
+                      lease_expired ? "lease_expired" : stop_accepted_reason,
+                      context.now);
         remove_run(executor, run.run);
         task_ended(executor, run,
                    lease_expired ? run_end::lease_expired : run_end::stopped,
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -217,6 +217,7 @@
 void scheduler_state::start_answered(order_answer const& answer,
                                      scheduler_context& context)
 {
+    observe_start_answer(answer, context);
     if (answer.outcome == order_outcome::unanswered)
     {
         record_unanswered_start(answer, context.now);
@@ -339,6 +340,7 @@
         run.stop_due = context.now + limits.stop_time;
         return;
     default:
+        log_refused_stop(executor, run, answer.outcome, context);
         run.stop_due = context.now + stop_retry_delay;
         return;
     }
@@ -428,6 +430,7 @@
     executor.unresponsive = false;
     for (auto const& run : runs)
     {
+        note_given_up(executor, run, "executor_lost", context.now);
         requeue_task(run, context);
     }
     confirm_crashes(executor, context);
--- a/tests/support/scripted_owner.hpp
+++ b/tests/support/scripted_owner.hpp
@@ -149,6 +149,11 @@
             {
                 polls[order->executor] = *order;
             }
+            if (auto const* const log_event =
+                    std::get_if<core::scheduler_log_event>(&action))
+            {
+                events.push_back(*log_event);
+            }
         }
         out.clear();
     }
@@ -159,6 +164,7 @@
     std::vector<core::start_run> starts;
     std::vector<core::stop_run> stops;
     std::map<core::executor_id, core::poll_executor> polls;
+    std::vector<core::scheduler_log_event> events;
 };
 
 } // namespace goldcrestgate::tests
