--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -44,6 +44,10 @@
     void apply_snapshot(adapter::topic_page const& page, core::time_point now);
 
     /// @brief Applies entries that were written or deleted.
+    ///
+    /// Between @ref replace and the next snapshot they may be older than the
+    /// list. An entry then only shows that its executor is present, as an
+    /// earlier address would end the runs at the present one.
     void apply_changes(adapter::topic_page const& page, core::time_point now);
 
     /// @brief Adds executors that another instance has reported. They count as
@@ -53,7 +57,8 @@
 
     /// @brief Replaces the list by that of another instance, for an instance
     /// that does not read the store itself. The executors count as missing from
-    /// @a now on, until the store has entries for them.
+    /// @a now on, until the store has entries for them. The descriptions are
+    /// kept until the next snapshot.
     void replace(std::vector<core::executor_description> const& executors,
                  core::time_point now);
 
@@ -110,6 +115,8 @@
     /// Ids by name of executors that were removed lately.
     std::unordered_map<std::string, removed_id> removed_ids_;
     std::uint32_t last_id_ = 0;
+    /// Whether the list is that of another instance; ends with a snapshot.
+    bool follows_roster_ = false;
     /// Start of the period without failed reads; empty before the first read
     /// and while the store is unreachable.
     std::optional<core::time_point> store_readable_since_;
--- a/include/goldcrestgate/app/entry/topic_watch.hpp
+++ b/include/goldcrestgate/app/entry/topic_watch.hpp
@@ -35,8 +35,8 @@
 /// @brief Follows a topic of the store.
 ///
 /// It reads a snapshot with the latest record of each key, then all later
-/// records. It starts over with a snapshot when the store no longer retains the
-/// records after its offset.
+/// records. It starts over with a snapshot after a pause, and when the store no
+/// longer retains the records after its offset.
 ///
 /// @par Thread safety
 /// All members must be called on the thread of the event loop.
@@ -52,8 +52,10 @@
     /// already.
     void resume();
 
-    /// @brief Stops reading after the read in flight. A later @ref resume
-    /// continues at the same record if the store still retains it.
+    /// @brief Stops reading; the result of the read in flight is discarded.
+    ///
+    /// A later @ref resume reads a snapshot. The records in between may be
+    /// older than what the caller has learned from others meanwhile.
     void pause();
 
     /// @brief Returns whether the watch reads the topic.
@@ -86,6 +88,8 @@
     core::duration retry_delay_{};
     bool active_ = false;
     bool read_in_flight_ = false;
+    /// Whether the read in flight started before a pause.
+    bool discard_result_ = false;
     bool refresh_requested_ = false;
     bool reachable_ = true;
     /// Shared with the callbacks of reads in flight, which ignore their result
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -33,6 +33,7 @@
 void executor_directory::apply_snapshot(adapter::topic_page const& page,
                                         core::time_point now)
 {
+    follows_roster_ = false;
     std::set<std::string_view> present;
     for (auto const& record : page.records)
     {
@@ -94,12 +95,18 @@
     }
     if (known == entries_.end())
     {
-        add(*description).offset = record.offset;
+        if (!follows_roster_)
+        {
+            add(*description).offset = record.offset;
+        }
         return;
     }
     auto& stored = known->second;
     stored.missing_since.reset();
-    update(stored, *description);
+    if (!follows_roster_)
+    {
+        update(stored, *description);
+    }
 }
 
 void executor_directory::update(entry& known,
@@ -152,6 +159,7 @@
     std::vector<core::executor_description> const& executors,
     core::time_point now)
 {
+    follows_roster_ = true;
     std::set<std::string_view> present;
     for (auto const& description : executors)
     {
--- a/src/app/entry/topic_watch.cpp
+++ b/src/app/entry/topic_watch.cpp
@@ -50,6 +50,8 @@
 {
     active_ = false;
     next_read_timer_.cancel();
+    next_offset_.reset();
+    discard_result_ = read_in_flight_;
 }
 
 void topic_watch::refresh()
@@ -107,6 +109,11 @@
         callbacks_.on_read_recovered();
     }
     retry_delay_ = initial_retry_delay;
+    if (std::exchange(discard_result_, false))
+    {
+        schedule_read({});
+        return;
+    }
     if (std::holds_alternative<adapter::records_expired>(result))
     {
         next_offset_.reset();
@@ -130,6 +137,7 @@
 
 void topic_watch::on_failure(core::error const& failure)
 {
+    discard_result_ = false;
     if (std::exchange(reachable_, false))
     {
         callbacks_.on_read_failed(failure);
