Let a minority that is refused twice wait

Callers see refused and late jobs during cuts between the instances of a failure domain, as each change of the owner claims all executors anew.

Cause: a claim that no executor accepted was repeated at once with a term that is 5 s higher, any number of times. Two instances that are cut off from each other so fenced each other in turn.

Ruled out: no repetition at all, as a successor whose clock is behind would wait 3 s (refused_claim_of_a_minority_is_repeated_at_once).

Change: an instance that hears from a minority waits 3 s after a second refusal within 3 s.

--- a/include/goldcrestgate/core/leasing/domain_ownership.hpp
+++ b/include/goldcrestgate/core/leasing/domain_ownership.hpp
@@ -219,6 +219,8 @@
     std::map<instance_id, time_point> heard_at_;
     /// Earliest claim while only a minority is heard from.
     time_point minority_claim_allowed_at_{};
+    /// Time of the last refusal while claiming.
+    std::optional<time_point> claim_refused_at_;
 };
 
 } // namespace goldcrestgate::core
--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -168,8 +168,20 @@
     else
     {
         claim_allowed_at_ = now + fenced_claim_delay;
+    }
+    // Clocks that differ cause one refusal. A second one shows another living
+    // claimant; instances of a minority that go on would take the executors
+    // from each other in turn.
+    bool const refused_again =
+        claim_refused_at_ && now - *claim_refused_at_ < minority_claim_delay;
+    if (!while_claiming || refused_again)
+    {
         minority_claim_allowed_at_ = now + minority_claim_delay;
     }
+    if (while_claiming)
+    {
+        claim_refused_at_ = now;
+    }
     release_requested_ = true;
 }
 
--- a/tests/unit/owner_probe.cpp
+++ b/tests/unit/owner_probe.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(majority_replaces_an_owner_that_is_cut_off);
     CPPUNIT_TEST(refused_owner_in_a_minority_waits);
     CPPUNIT_TEST(refused_claim_of_a_minority_is_repeated_at_once);
+    CPPUNIT_TEST(claim_of_a_minority_that_is_refused_twice_waits);
     CPPUNIT_TEST(refused_token_is_not_used_again);
     CPPUNIT_TEST(ended_owner_is_not_probed);
     CPPUNIT_TEST(probe_of_a_living_owner_finds_its_orders);
@@ -149,6 +150,27 @@
         CPPUNIT_ASSERT(claims(self, {}));
     }
 
+    // Guards against instances that are cut off from each other and repeat
+    // their claims, each with a higher term, against the other's claim.
+    void claim_of_a_minority_that_is_refused_twice_waits()
+    {
+        auto self = make_follower();
+        lose_all(self);
+        for (int refusal = 0; refusal < 2; ++refusal)
+        {
+            CPPUNIT_ASSERT(claims(self, {}));
+            now_ += milliseconds{50};
+            self.fenced(true, now_);
+            static_cast<void>(self.decide(now_, unix_ms, {}));
+            now_ += milliseconds{50};
+        }
+        CPPUNIT_ASSERT(!claims(self, {}));
+        now_ += milliseconds{2500};
+        CPPUNIT_ASSERT(!claims(self, {}));
+        now_ += milliseconds{500};
+        CPPUNIT_ASSERT(claims(self, {}));
+    }
+
     // Guards against a claim of a minority against an owner that it has not
     // heard from, and against polls with a token that is out of date.
     void refused_token_is_not_used_again()
