Let cut-off instances claim in turn

Callers see refused and late jobs during cuts between the instances of a failure domain, as each change of the owner claims all executors anew.

Cause: instances that are cut off from each other judge a silent owner by the same executors, so the time without an order ends for all of them at once. Up to three claimed within 3 ms, before a poll could show one the claim of another, and each fenced the one before.

Ruled out: a wait counted from the last heartbeat, as the evidence of a living owner may end seconds later for all at once.

Change: an instance that hears from a minority claims after 160 ms for each instance before it: the successors that the last owner designated, then the others by their ids; 640 ms at most. A poll, sent every 100 ms, shows the claim of one to the next. Any evidence against a claim starts the wait anew. After the loss of an owner, a surviving minority waits up to 640 ms longer.

--- a/include/goldcrestgate/core/leasing/domain_ownership.hpp
+++ b/include/goldcrestgate/core/leasing/domain_ownership.hpp
@@ -186,6 +186,10 @@
     /// Whether most instances of the failure domain, this one included, are
     /// heard from.
     [[nodiscard]] bool hears_majority(time_point now) const;
+    /// Time for which this instance leaves a claim to the instances before it
+    /// while only a minority is heard from: the successors come first, then
+    /// the others by their ids.
+    [[nodiscard]] duration minority_turn(time_point now) const;
     /// Decides whether this instance, as the owner, yields to a larger one.
     void update_yield(time_point now);
     /// Adopts the successors that the owner with the highest term designates.
@@ -213,12 +217,17 @@
     fencing_token last_owner_token_;
     /// Whether the last live owner designated this instance as a successor.
     bool designated_ = false;
+    /// The successors that the last live owner designated.
+    std::vector<instance_id> successors_;
     std::map<instance_id, peer_state> peers_;
     /// Time of the last heartbeat of each instance of the failure domain that
     /// has not certainly ended.
     std::map<instance_id, time_point> heard_at_;
     /// Earliest claim while only a minority is heard from.
     time_point minority_claim_allowed_at_{};
+    /// Time since which this instance leaves a claim to those before it; empty
+    /// while it may not claim for another reason.
+    std::optional<time_point> minority_wait_started_at_;
     /// Time of the last refusal while claiming.
     std::optional<time_point> claim_refused_at_;
 };
--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace goldcrestgate::core
 {
@@ -61,6 +62,15 @@
 /// it hears from a minority of its failure domain only; the majority serves.
 constexpr duration minority_claim_delay = std::chrono::seconds{3};
 
+/// Interval between the claims of instances that are cut off from each other.
+/// It is long enough for a poll, sent every 100 ms, to show the claim of
+/// another one.
+constexpr duration minority_turn_interval = std::chrono::milliseconds{160};
+
+/// Limits the wait for a turn, which adds to the outage after the loss of most
+/// instances of a large failure domain.
+constexpr std::size_t max_minority_rank = 4;
+
 /// Time for which an instance that is no longer heard from counts as a member
 /// of the failure domain; cuts last for several seconds.
 constexpr duration membership_memory = std::chrono::seconds{30};
@@ -123,8 +133,9 @@
     }
     owner_seen_at_ = now;
     owner_silent_since_.reset();
-    designated_ = std::ranges::find(heartbeat.successors, self_.instance) !=
-                  heartbeat.successors.end();
+    successors_ = heartbeat.successors;
+    designated_ =
+        std::ranges::find(successors_, self_.instance) != successors_.end();
 }
 
 void domain_ownership::lost(instance_id peer, bool ended, time_point now)
@@ -273,6 +284,8 @@
                                             std::uint64_t unix_ms,
                                             executor_evidence const& evidence)
 {
+    auto const earlier_wait =
+        std::exchange(minority_wait_started_at_, std::nullopt);
     auto const* const owner = other_owner(now);
     if (term_ != 0)
     {
@@ -313,6 +326,12 @@
         {
             return {};
         }
+        auto const waiting_since = earlier_wait.value_or(now);
+        if (now - waiting_since < minority_turn(now))
+        {
+            minority_wait_started_at_ = waiting_since;
+            return {};
+        }
     }
     last_owner_ = {};
     yield_checked_at_ = now;
@@ -336,6 +355,25 @@
     return heard * 2 > members;
 }
 
+duration domain_ownership::minority_turn(time_point now) const
+{
+    auto const own = std::ranges::find(successors_, self_.instance);
+    auto rank = static_cast<std::size_t>(own - successors_.begin());
+    if (own == successors_.end())
+    {
+        rank += static_cast<std::size_t>(std::ranges::count_if(
+            heard_at_,
+            [&](auto const& entry)
+            {
+                auto const& [id, heard_at] = entry;
+                return id < self_.instance && id != last_owner_ &&
+                       now - heard_at < membership_memory &&
+                       std::ranges::find(successors_, id) == successors_.end();
+            }));
+    }
+    return minority_turn_interval * std::min(rank, max_minority_rank);
+}
+
 void domain_ownership::update_yield(time_point now)
 {
     if (now - yield_checked_at_ < yield_interval)
--- a/tests/unit/owner_probe.cpp
+++ b/tests/unit/owner_probe.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(refused_owner_in_a_minority_waits);
     CPPUNIT_TEST(refused_claim_of_a_minority_is_repeated_at_once);
     CPPUNIT_TEST(claim_of_a_minority_that_is_refused_twice_waits);
+    CPPUNIT_TEST(members_of_a_minority_claim_in_turn);
     CPPUNIT_TEST(refused_token_is_not_used_again);
     CPPUNIT_TEST(ended_owner_is_not_probed);
     CPPUNIT_TEST(probe_of_a_living_owner_finds_its_orders);
@@ -171,6 +172,27 @@
         CPPUNIT_ASSERT(claims(self, {}));
     }
 
+    // Guards against instances that are cut off from each other and claim at
+    // the same moment, before a poll shows the claim of another one.
+    void members_of_a_minority_claim_in_turn()
+    {
+        domain_ownership self{key(4), own_weight, now_};
+        now_ += milliseconds{1000};
+        hear(self, 1, 0);
+        hear(self, 2, owner_term);
+        hear(self, 3, 0);
+        lose_all(self);
+        // The successor, instance 1, claims first, then instance 3.
+        CPPUNIT_ASSERT(!claims(self, {}));
+        now_ += milliseconds{300};
+        CPPUNIT_ASSERT(!claims(self, {.owner_lives = true}));
+        CPPUNIT_ASSERT(!claims(self, {}));
+        now_ += milliseconds{300};
+        CPPUNIT_ASSERT(!claims(self, {}));
+        now_ += milliseconds{50};
+        CPPUNIT_ASSERT(claims(self, {}));
+    }
+
     // Guards against a claim of a minority against an owner that it has not
     // heard from, and against polls with a token that is out of date.
     void refused_token_is_not_used_again()
