Refuse executor entries that name no usable executor

Seen by callers: a task ran twice at the same time. With real processes, entries with port 65536 under the keys of two busy executors gave 11 sightings of two runs of one task, and jobs answered 504. Cause: an entry was used if its members had the right types. A port out of range or a malformed address changed the address of the listed executor, which counts as a move: its runs were given up at once and started elsewhere while they went on. An address with a zero byte was parsed up to that byte, and its remainder and the key were sent as header text.

--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -19,7 +19,8 @@
         on_listed;
     /// An executor was removed.
     std::function<void(core::executor_id)> on_unlisted;
-    /// An entry of the store cannot be decoded and is ignored.
+    /// An entry of the store names no executor to use; an executor that is
+    /// known under its key counts as missing.
     std::function<void(std::string_view name)> on_invalid_entry;
 };
 
@@ -98,6 +99,7 @@
 
     void apply_record(adapter::keyed_record const& record,
                       core::time_point now);
+    void mark_missing(std::string const& name, core::time_point now);
     entry& add(core::executor_description const& description);
     void remove(std::string const& name, core::executor_id id,
                 core::time_point now);
--- a/include/goldcrestgate/io/address.hpp
+++ b/include/goldcrestgate/io/address.hpp
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,10 @@
         return size_;
     }
 
+    /// @brief Returns the port; 0 lets the kernel choose the port of a
+    /// listener.
+    [[nodiscard]] std::uint16_t port() const;
+
     /// @brief Returns the address as the text passed to @ref parse.
     [[nodiscard]] std::string const& text() const
     {
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -75,14 +75,17 @@
     }
     if (!record.value)
     {
-        if (known != entries_.end() && !known->second.missing_since)
-        {
-            known->second.missing_since = now;
-        }
+        mark_missing(record.key, now);
         return;
     }
     auto description =
         adapter::decode_executor(record.key, *record.value, domains_);
+    // An entry of another writer, or for another failure domain, does not name
+    // the executor that is known under its key.
+    if (!description || description->domain != own_domain_)
+    {
+        mark_missing(record.key, now);
+    }
     if (!description)
     {
         callbacks_.on_invalid_entry(record.key);
@@ -102,6 +105,16 @@
     update(stored, *description);
 }
 
+void executor_directory::mark_missing(std::string const& name,
+                                      core::time_point now)
+{
+    auto const known = entries_.find(name);
+    if (known != entries_.end() && !known->second.missing_since)
+    {
+        known->second.missing_since = now;
+    }
+}
+
 void executor_directory::update(entry& known,
                                 core::executor_description const& description)
 {
--- a/src/io/address.cpp
+++ b/src/io/address.cpp
@@ -41,6 +41,12 @@
     }
     BOOST_LEAF_AUTO(port, parse_port(text.substr(colon + 1), text));
     std::string host{text.substr(0, colon)};
+    // inet_pton() reads up to the first zero byte only.
+    if (host.find('\0') != std::string::npos)
+    {
+        return core::fail({core::error_code::invalid_field, "parse an address",
+                           std::string{text}, "the host has a zero byte"});
+    }
     socket_address parsed;
     parsed.text_ = text;
     if (host.size() > 2 && host.front() == '[' && host.back() == ']')
@@ -69,6 +75,13 @@
                        std::string{text}, "the host is not an IP address"});
 }
 
+std::uint16_t socket_address::port() const
+{
+    return ntohs(data()->sa_family == AF_INET6
+                     ? reinterpret_cast<sockaddr_in6 const*>(data())->sin6_port
+                     : reinterpret_cast<sockaddr_in const*>(data())->sin_port);
+}
+
 core::result<int> open_listener(socket_address const& address)
 {
     int const descriptor =
