Let an unreadable part of a poll answer end no run

Seen by callers: nothing yet; found by review of what a poll answer can contain. Cause: an answer 200 that was not JSON, or had one number out of range in any row, counted as an answer without runs. Confirmed runs that are missing from it count as ended and start again elsewhere while they go on. Ruled out: deep rows crash nothing; the decoder neither copies nor compares them.

--- a/include/goldcrestgate/core/leasing/orders.hpp
+++ b/include/goldcrestgate/core/leasing/orders.hpp
@@ -104,6 +104,9 @@
     std::uint64_t incarnation = 0;
     std::vector<listed_run> running;
     std::vector<finished_run> finished;
+    /// Whether both lists could be read as a whole; a run that is not in an
+    /// incomplete list may still exist.
+    bool complete = true;
 };
 
 } // namespace goldcrestgate::core
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -252,7 +252,7 @@
             run.phase = run_phase::running;
             run.confirmed_at = context.now;
         }
-        if (!is_listed && run.phase == run_phase::running &&
+        if (answer.complete && !is_listed && run.phase == run_phase::running &&
             run.confirmed_at < sent_at)
         {
             missing.push_back(run);
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -28,6 +28,8 @@
     bool ignores_capacity = false;
     /// Another executor answers at its address.
     bool replaced = false;
+    /// The rows of running tasks in answers to polls cannot be read.
+    bool rows_unreadable = false;
     /// Start orders get no answer and take effect after this delay.
     std::optional<core::duration> start_delay;
     /// Additional delay of the answers to polls.
