--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -193,14 +193,15 @@
                        executors_poll_timing, make_executor_callbacks())
     , instances_watch_(
           loop, store_, adapter::topic::instances, instances_poll_timing,
-          make_topic_callbacks("instances",
-                               [this](adapter::topic_page const& page)
-                               {
-                                   for (auto const& record : page.records)
-                                   {
-                                       connect(record.value.value_or(""));
-                                   }
-                               }))
+          make_topic_callbacks(
+              "instances",
+              [this](adapter::topic_page const& page)
+              {
+                  for (auto const& record : page.records)
+                  {
+                      connect(adapter::published_address(record).value_or(""));
+                  }
+              }))
     , tick_timer_(loop,
                   [this]
                   {
--- a/src/app/entry/topic_watch.cpp
+++ b/src/app/entry/topic_watch.cpp
@@ -116,6 +116,10 @@
     auto const& page = std::get<adapter::topic_page>(result);
     bool const is_snapshot = !next_offset_;
     next_offset_ = page.next_offset;
+    // Scheduled before the callbacks, so that an exception does not end the
+    // watch.
+    schedule_read(std::exchange(refresh_requested_, false) ? core::duration{}
+                                                           : timing_.delay);
     if (is_snapshot)
     {
         callbacks_.on_snapshot(page);
@@ -124,8 +128,6 @@
     {
         callbacks_.on_appended(page);
     }
-    schedule_read(std::exchange(refresh_requested_, false) ? core::duration{}
-                                                           : timing_.delay);
 }
 
 void topic_watch::on_failure(core::error const& failure)
