Clamp the sum of the executors' free capacity

Cause: two executors with 2^31 millicores each gave a sum of 0, and the owner seemed to have no room for jobs. Change: the sum is clamped. Measured: unit.odd_executor_entries, sum_of_huge_capacities_does_not_overflow failed without the change and passes now.

--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace goldcrestgate::core
@@ -340,7 +341,12 @@
         load.claimed += executor.claimed ? 1 : 0;
         if (state_.owner && state_.accepts(executor, now))
         {
-            load.free_millicores += executor.free_capacity().cpu_millicores;
+            // Capacities are given by the executors; their sum may overflow.
+            auto const sum = std::uint64_t{load.free_millicores} +
+                             executor.free_capacity().cpu_millicores;
+            load.free_millicores =
+                static_cast<std::uint32_t>(std::min<std::uint64_t>(
+                    sum, std::numeric_limits<std::uint32_t>::max()));
         }
     }
     load.expected_wait = state_.expected_wait({}, now);
--- a/tests/unit/odd_executor_entries.cpp
+++ b/tests/unit/odd_executor_entries.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/app/entry/executor_directory.hpp"
 #include "platform/executor_codec.hpp"
+#include "support/fleet_owner.hpp"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -95,6 +96,7 @@
     CPPUNIT_TEST(executor_with_an_odd_entry_counts_as_missing);
     CPPUNIT_TEST(executor_of_an_entry_for_another_domain_counts_as_missing);
     CPPUNIT_TEST(other_entries_of_a_page_hold);
+    CPPUNIT_TEST(sum_of_huge_capacities_does_not_overflow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +207,23 @@
         CPPUNIT_ASSERT_EQUAL(number - 1, listed_.size());
     }
 
+    // Guards against an owner that seems to have no room.
+    void sum_of_huge_capacities_does_not_overflow()
+    {
+        tests::executor_fleet fleet{2};
+        tests::fleet_owner owner{fleet};
+        owner.start(1);
+        constexpr std::uint32_t huge = 0x80000000;
+        for (auto const id : fleet.ids())
+        {
+            auto description = fleet.description(id);
+            description.capacity.cpu_millicores = huge;
+            owner.list(id, description);
+        }
+        CPPUNIT_ASSERT(owner.scheduler.load(fleet.now()).free_millicores >=
+                       huge);
+    }
+
 private:
     static adapter::topic_page two_entries()
     {
