--- a/tests/failure/harness/leased.py
+++ b/tests/failure/harness/leased.py
@@ -108,9 +108,11 @@
             self.first_offset = max(map(len, self.topics.values()))
 
     def put(self, topic, key, value):
+        self.put_bytes(topic, key, json.dumps(value).encode())
+
+    def put_bytes(self, topic, key, value):
         with self.changed:
-            self.topics.setdefault(topic, []).append(
-                (key, json.dumps(value).encode()))
+            self.topics.setdefault(topic, []).append((key, value))
             self.changed.notify_all()
 
     def handle(self, path, query, body):
