--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -5,7 +5,8 @@
         # code that it has instrumented; the plain build keeps the warning.
         target_compile_options(${target} PRIVATE
             -fsanitize=${GOLDCRESTGATE_SANITIZE} -fno-omit-frame-pointer
-            -fno-sanitize-recover=all -Wno-maybe-uninitialized)
+            -fno-sanitize-recover=all
+            $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
         target_link_options(${target} PUBLIC
             -fsanitize=${GOLDCRESTGATE_SANITIZE})
     endif()
