--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -28,6 +28,8 @@
     bool ignores_capacity = false;
     /// Another executor answers at its address.
     bool replaced = false;
+    /// The rows of running tasks in answers to polls cannot be read.
+    bool rows_unreadable = false;
     /// Orders of a kind get no answer and are carried out after this delay, by
     /// the process that then runs and also while the executor is unreachable.
     std::optional<core::duration> start_delay;
