Simulate unreadable rows in the answers to late polls too

Cause: the simulation of polls moved to executor_fleet_orders.cpp while the test of unreadable rows was written against its former place. Change: the behaviour is applied where answers to polls are made now.

--- a/tests/support/executor_fleet_orders.cpp
+++ b/tests/support/executor_fleet_orders.cpp
@@ -297,6 +297,11 @@
         answer.running.push_back(
             {run.run, static_cast<std::uint32_t>(std::min(percent, 99.0))});
     }
+    if (target.behaviour.rows_unreadable)
+    {
+        answer.complete = answer.running.empty();
+        answer.running.clear();
+    }
     std::ranges::copy_if(target.finished, std::back_inserter(answer.finished),
                          [&order](finished_run const& run)
                          {
