Renew the owner's token when orders may arrive late

What callers saw: nothing; the class is two runs of a task at a time (TWICE). Cause: an order without an answer may be carried out seconds later, by a new process of the executor that has the same id, a new clock and has seen no token. A late start ran there beside the task's other run; a late poll or a refused late start renewed the lease past the time that the owner counted, as the deadline was on the earlier clock; a late poll's acknowledgement dropped ends of the new process. Starts were also forgotten after 5 s, although they may arrive 12 s late, and with the record of an unlisted executor. Ruled out: naming the process in Goldcrestgate-Target-Instance. Change: the owner raises its token when a start gets no answer and when an executor has restarted, so that a process which has accepted one later order refuses all earlier ones. Heartbeats carry the highest renewed term, and the next owner claims above it. A refusal of an order with an earlier token of the owner is no sign of another owner. Unanswered starts are kept for 13 s, also of unlisted executors, and their tasks wait until the present process has accepted a later order.

--- a/include/goldcrestgate/core/leasing/detail/executor_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/executor_record.hpp
@@ -88,6 +88,11 @@
     /// Time of the next stop order, unless the present process has accepted a
     /// stop of the run.
     std::optional<time_point> stop_due;
+    /// Last order with the token of the start. The present process refuses the
+    /// start after it has accepted a later order.
+    order_id last_order_of_token;
+    /// Whether the present process has accepted a later order.
+    bool refused_if_late = false;
 };
 
 /// @brief State of one executor as known to its owner.
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -102,6 +103,9 @@
     bool suspended = false;
     bool fenced = false;
     fencing_token token;
+    /// Last order that was sent with an earlier token. An executor that refuses
+    /// it has seen a renewed token, not that of another owner.
+    order_id last_order_of_earlier_token;
     time_point owner_since{};
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
@@ -116,6 +120,9 @@
     std::map<leased_task, time_point> done_tasks;
     speed_model speeds;
     crash_ledger crashes;
+    /// Tasks that must not start, as a start without an answer may still be
+    /// carried out by a process that has accepted no later order.
+    std::set<leased_task> withheld_tasks;
     given_up_runs given_up;
 
     // jobs
@@ -220,6 +227,15 @@
     static void record_refusal(executor_record& executor,
                                run_record const& refused,
                                scheduler_context& context);
+    /// Gives all later orders a higher token. An executor that gets one of them
+    /// refuses the earlier orders, which may arrive late: a new process of an
+    /// executor would carry them out, as it knows no token and no run.
+    void renew_token(std::string_view reason, executor_record const& executor,
+                     scheduler_context& context);
+    /// Whether an executor refused an order because it has seen a later token
+    /// of this owner; the order had no effect.
+    [[nodiscard]] bool is_superseded(order_id order,
+                                     order_outcome outcome) const;
     /// Handles a refusal by an executor that has seen a higher token.
     void fence_executor(executor_record& executor, scheduler_context& context);
     void lose_executor(executor_record& executor, std::string_view reason,
@@ -231,7 +247,13 @@
     /// stopped, as their starts may still arrive.
     void repeat_stops(executor_record& executor, scheduler_context& context);
     /// Remembers a start without an answer, as it may arrive late.
-    void record_unanswered_start(order_answer const& answer, time_point now);
+    void record_unanswered_start(order_answer const& answer,
+                                 scheduler_context& context);
+    /// Records that the present process has accepted an order, and so refuses
+    /// starts with earlier tokens.
+    static void record_accepted_order(executor_record& executor,
+                                      order_id order);
+    [[nodiscard]] std::set<leased_task> tasks_with_late_starts() const;
     /// Sends the due stop orders of starts without a recorded run.
     void send_due_stops(executor_record& executor, scheduler_context& context);
     /// Ends or continues the stop orders of a start without an answer.
--- a/include/goldcrestgate/core/leasing/domain_ownership.hpp
+++ b/include/goldcrestgate/core/leasing/domain_ownership.hpp
@@ -92,6 +92,10 @@
     /// @param while_claiming whether no executor has accepted the token yet
     void fenced(bool while_claiming, time_point now);
 
+    /// @brief Handles a renewal of this owner's token; the next owner uses a
+    /// higher one.
+    void token_renewed(fencing_token token);
+
     /// @brief Handles a pause of this process of at least @ref pause_limit.
     ///
     /// The others may have counted this instance as gone and its successor may
@@ -201,6 +205,8 @@
     time_point claim_allowed_at_;
     std::uint64_t term_ = 0;
     std::uint64_t highest_term_ = 0;
+    /// Highest term of a renewed token that is known in the failure domain.
+    std::uint64_t highest_token_term_ = 0;
     bool leaving_ = false;
     bool release_requested_ = false;
     /// Time of the claim, or of the last attempt to yield.
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -96,6 +96,9 @@
     evacuations evacuated;
     /// Crashes that the sender, as an owner, has counted under tasks.
     std::vector<task_crashes> crashes;
+    /// Highest term of a renewed token that it knows in its failure domain; 0
+    /// without one.
+    std::uint64_t highest_token_term = 0;
 };
 
 /// @brief Learned speed of one executor.
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -78,6 +78,13 @@
         return state_.fenced;
     }
 
+    /// @brief Returns the token of the present orders; the owner renews the
+    /// token that it claimed with.
+    [[nodiscard]] fencing_token token() const
+    {
+        return state_.token;
+    }
+
     /// @brief Starts or ends the evacuation of the failure domain. Meanwhile no
     /// task starts, and jobs that have not started are rejected; runs go on.
     void suspend(bool suspended, time_point now,
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -2703,7 +2703,8 @@
     VT_YIELDS_TO = 26,
     VT_EVACUATION_VERSION = 28,
     VT_EVACUATED = 30,
-    VT_CRASHES = 32
+    VT_CRASHES = 32,
+    VT_HIGHEST_TOKEN_TERM = 34
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -2750,6 +2751,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *>(VT_CRASHES);
   }
+  uint64_t highest_token_term() const {
+    return GetField<uint64_t>(VT_HIGHEST_TOKEN_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -2771,6 +2775,7 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint64_t>(verifier, VT_HIGHEST_TOKEN_TERM, 8) &&
            verifier.EndTable();
   }
 };
@@ -2824,6 +2829,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>> crashes) {
     fbb_.AddOffset(OwnerHeartbeat::VT_CRASHES, crashes);
   }
+  void add_highest_token_term(uint64_t highest_token_term) {
+    fbb_.AddElement<uint64_t>(OwnerHeartbeat::VT_HIGHEST_TOKEN_TERM, highest_token_term, 0);
+  }
   explicit OwnerHeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2851,8 +2859,10 @@
     uint32_t yields_to = 0,
     uint64_t evacuation_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> evacuated = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>> crashes = 0,
+    uint64_t highest_token_term = 0) {
   OwnerHeartbeatBuilder builder_(_fbb);
+  builder_.add_highest_token_term(highest_token_term);
   builder_.add_evacuation_version(evacuation_version);
   builder_.add_interval_us(interval_us);
   builder_.add_time_to_claim_us(time_to_claim_us);
@@ -2892,7 +2902,8 @@
     uint32_t yields_to = 0,
     uint64_t evacuation_version = 0,
     const std::vector<uint16_t> *evacuated = nullptr,
-    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *crashes = nullptr,
+    uint64_t highest_token_term = 0) {
   auto successors__ = successors ? _fbb.CreateVector<uint32_t>(*successors) : 0;
   auto evacuated__ = evacuated ? _fbb.CreateVector<uint16_t>(*evacuated) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>(*crashes) : 0;
@@ -2912,7 +2923,8 @@
       yields_to,
       evacuation_version,
       evacuated__,
-      crashes__);
+      crashes__,
+      highest_token_term);
 }
 
 struct ExecutorDescription FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/app/entry/entry_ownership.cpp
+++ b/src/app/entry/entry_ownership.cpp
@@ -12,6 +12,10 @@
     {
         ownership_.fenced(scheduler_.load(now).claimed == 0, now);
     }
+    if (scheduler_.owns())
+    {
+        ownership_.token_renewed(scheduler_.token());
+    }
     std::vector<core::scheduler_action> out;
     if (auto const token = ownership_.silent_owner_token(now))
     {
--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/core/leasing/domain_ownership.hpp"
 
+#include "goldcrestgate/core/leasing/owner_token.hpp"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -79,15 +81,10 @@
 /// differ by seconds, so an earlier owner may have used a later time.
 constexpr std::uint64_t refused_term_step_ms = 5'000;
 
-/// Number of low bits of a token that hold bits of the instance's id, below the
-/// term, so that two instances never use the same token.
-constexpr unsigned instance_bits = 10;
-
-fencing_token make_token(std::uint64_t term, instance_id instance)
-{
-    constexpr std::uint64_t mask = (1U << instance_bits) - 1;
-    return fencing_token{(term << instance_bits) | (instance.value() & mask)};
-}
+/// Number of renewals by which the token of an owner may exceed the last one
+/// that it has announced. Heartbeats are sent every 100 ms, and an owner renews
+/// its token at most once for each order without an answer.
+constexpr std::uint64_t max_unannounced_renewals = 2'000;
 
 } // namespace
 
@@ -112,6 +109,8 @@
     follow_owner(from.instance, heartbeat, now);
     highest_term_ =
         std::max({highest_term_, heartbeat.term, heartbeat.highest_term});
+    highest_token_term_ =
+        std::max(highest_token_term_, heartbeat.highest_token_term);
 }
 
 void domain_ownership::follow_owner(instance_id owner,
@@ -129,7 +128,8 @@
     if (!heartbeat.leaving)
     {
         last_owner_ = owner;
-        last_owner_token_ = make_token(heartbeat.term, owner);
+        last_owner_token_ = make_owner_token(
+            std::max(heartbeat.term, heartbeat.highest_token_term), owner);
     }
     owner_seen_at_ = now;
     owner_silent_since_.reset();
@@ -196,6 +196,14 @@
     release_requested_ = true;
 }
 
+void domain_ownership::token_renewed(fencing_token token)
+{
+    if (token_term(token) > term_)
+    {
+        highest_token_term_ = std::max(highest_token_term_, token_term(token));
+    }
+}
+
 void domain_ownership::paused(time_point now)
 {
     claim_allowed_at_ = std::max(claim_allowed_at_, now + first_claim_delay);
@@ -335,9 +343,12 @@
     }
     last_owner_ = {};
     yield_checked_at_ = now;
-    term_ = std::max(unix_ms, highest_term_ + 1);
+    bool const token_renewed = highest_token_term_ > highest_term_;
+    term_ = std::max(
+        {unix_ms, highest_term_ + 1,
+         token_renewed ? highest_token_term_ + max_unannounced_renewals : 0});
     highest_term_ = term_;
-    return claim_ownership{term_, make_token(term_, self_.instance),
+    return claim_ownership{term_, make_owner_token(term_, self_.instance),
                            invited        ? "invited"
                            : owner_silent ? "owner_silent"
                                           : "no_owner"};
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -38,6 +38,7 @@
     state_.owner = true;
     state_.fenced = false;
     state_.token = token;
+    state_.last_order_of_earlier_token = order_id{state_.last_order};
     state_.owner_since = now;
     state_.roster_known = roster_known;
     scheduler_log_event log_event{.event = "ownership_taken"};
@@ -177,8 +178,9 @@
         executor.unlisted_at = now;
     }
     executor.listed = false;
-    bool const in_use =
-        !executor.runs.empty() || !executor.unconfirmed_crashes.empty();
+    bool const in_use = !executor.runs.empty() ||
+                        !executor.unconfirmed_crashes.empty() ||
+                        !executor.unanswered_starts.empty();
     if (!state_.owner || !in_use)
     {
         state_.speeds.remove(id);
@@ -286,7 +288,9 @@
          std::ranges::any_of(state_.executors,
                              [](auto const& entry)
                              {
-                                 return !entry.second.runs.empty();
+                                 auto const& executor = entry.second;
+                                 return !executor.runs.empty() ||
+                                        !executor.unanswered_starts.empty();
                              }));
     return now + (busy ? busy_tick_interval : idle_tick_interval);
 }
--- a/src/core/leasing/scheduler_late_starts.cpp
+++ b/src/core/leasing/scheduler_late_starts.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-/// Time for which an order without an answer may still arrive.
-constexpr duration late_order_time = std::chrono::seconds{5};
+/// Time for which an order without an answer may still arrive. The platform
+/// names no bound but "seconds later"; delays of up to 12 s were seen.
+constexpr duration late_order_time = std::chrono::seconds{13};
 
 void forget_old_starts(executor_record& executor, time_point now)
 {
@@ -26,7 +27,7 @@
 // The run may have been removed after an accepted stop. That stop and the start
 // were sent to an earlier process if the executor has restarted since.
 void scheduler_state::record_unanswered_start(order_answer const& answer,
-                                              time_point now)
+                                              scheduler_context& context)
 {
     auto const found = executors.find(answer.executor);
     if (!owner || found == executors.end())
@@ -34,14 +35,19 @@
         return;
     }
     auto& executor = found->second;
-    forget_old_starts(executor, now);
+    forget_old_starts(executor, context.now);
     std::optional<time_point> stop_due;
     if (!was_sent_to_present_process(executor, answer.order))
     {
-        stop_due = now;
+        stop_due = context.now;
+    }
+    if (answer.order.value() > last_order_of_earlier_token.value())
+    {
+        renew_token("start_unanswered", executor, context);
     }
     executor.unanswered_starts.push_back(
-        {answer.run, now + late_order_time, stop_due});
+        {answer.run, context.now + late_order_time, stop_due,
+         last_order_of_earlier_token});
 }
 
 void scheduler_state::repeat_stops(executor_record& executor,
@@ -58,10 +64,39 @@
     for (auto& start : executor.unanswered_starts)
     {
         start.stop_due = context.now;
+        start.refused_if_late = false;
     }
     send_due_stops(executor, context);
 }
 
+void scheduler_state::record_accepted_order(executor_record& executor,
+                                            order_id order)
+{
+    for (auto& start : executor.unanswered_starts)
+    {
+        if (order.value() > start.last_order_of_token.value())
+        {
+            start.refused_if_late = true;
+        }
+    }
+}
+
+std::set<leased_task> scheduler_state::tasks_with_late_starts() const
+{
+    std::set<leased_task> tasks;
+    for (auto const& [id, executor] : executors)
+    {
+        for (auto const& start : executor.unanswered_starts)
+        {
+            if (!start.refused_if_late)
+            {
+                tasks.insert(start.run.task);
+            }
+        }
+    }
+    return tasks;
+}
+
 // A recorded run has stop orders of its own.
 void scheduler_state::send_due_stops(executor_record& executor,
                                      scheduler_context& context)
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -116,6 +116,14 @@
     {
         executor.poll.reset();
     }
+    if (is_superseded(answer.order, answer.outcome))
+    {
+        if (is_latest)
+        {
+            executor.next_poll_at = context.now;
+        }
+        return;
+    }
     if (answer.outcome == order_outcome::fenced)
     {
         if (is_latest)
@@ -147,6 +155,7 @@
     }
     refute_crashes(executor, context);
     record_clock(executor, answer.clock, context.now);
+    record_accepted_order(executor, answer.order);
     executor.unresponsive = false;
     executor.health.record_answer();
     log_late_runs(executor, answer, is_latest, context);
@@ -373,6 +382,7 @@
         send_due_stops(executor, context);
         bool const is_expired =
             !executor.listed && executor.runs.empty() &&
+            executor.unanswered_starts.empty() &&
             context.now >= executor.unlisted_at + unlisted_timeout;
         if (is_expired)
         {
@@ -381,7 +391,8 @@
         }
         bool const needed = !executor.claimed || executor.unresponsive ||
                             executor.capacity_unconfirmed ||
-                            !executor.runs.empty();
+                            !executor.runs.empty() ||
+                            !executor.unanswered_starts.empty();
         bool const is_due = needed && !executor.poll && !executor.fenced &&
                             context.now >= executor.next_poll_at;
         if (is_due || needs_extra_poll(executor, context.now))
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/leasing/detail/order_timing.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/owner_token.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -166,6 +167,10 @@
     if (was_sent_to_present_process(executor, answer.order))
     {
         record_clock(executor, answer.clock, now);
+        if (answer.outcome == order_outcome::accepted)
+        {
+            record_accepted_order(executor, answer.order);
+        }
     }
     auto* const run = find_run(executor, answer.run);
     if (run == nullptr)
@@ -220,7 +225,7 @@
     observe_start_answer(answer, context);
     if (answer.outcome == order_outcome::unanswered)
     {
-        record_unanswered_start(answer, context.now);
+        record_unanswered_start(answer, context);
     }
     auto const answered = find_answered(answer, context.now);
     if (!answered)
@@ -258,7 +263,8 @@
         remove_run(executor, answer.run);
         requeue_task(refused, context);
     }
-    if (handle_executor_loss(executor, answer.outcome, context))
+    bool const superseded = is_superseded(answer.order, answer.outcome);
+    if (!superseded && handle_executor_loss(executor, answer.outcome, context))
     {
         return;
     }
@@ -323,7 +329,8 @@
     }
     auto& [executor, run] = *answered;
     run.stop_in_flight = false;
-    if (handle_executor_loss(executor, answer.outcome, context))
+    bool const superseded = is_superseded(answer.order, answer.outcome);
+    if (!superseded && handle_executor_loss(executor, answer.outcome, context))
     {
         return;
     }
@@ -346,6 +353,25 @@
     }
 }
 
+void scheduler_state::renew_token(std::string_view reason,
+                                  executor_record const& executor,
+                                  scheduler_context& context)
+{
+    token = renewed_token(token);
+    last_order_of_earlier_token = order_id{last_order};
+    scheduler_log_event log_event{.event = "token_renewed",
+                                  .executor = executor.id};
+    log_event.reason = reason;
+    log_event.count = executor.unanswered_starts.size();
+    context.out.emplace_back(log_event);
+}
+
+bool scheduler_state::is_superseded(order_id order, order_outcome outcome) const
+{
+    return outcome == order_outcome::fenced &&
+           order.value() <= last_order_of_earlier_token.value();
+}
+
 void scheduler_state::fence_executor(executor_record& executor,
                                      scheduler_context& context)
 {
@@ -390,6 +416,10 @@
     // just now. It counts the lease from then on, as the deadline of the order
     // was on another clock.
     executor.lease_expires_at = context.now + lease_expiry_time();
+    if (owner)
+    {
+        renew_token("executor_restarted", executor, context);
+    }
     repeat_stops(executor, context);
 }
 
@@ -423,6 +453,8 @@
         return;
     }
     executor.last_uncertain_order = order_id{last_order};
+    // Another executor refuses late orders by the name that they carry.
+    executor.unanswered_starts.clear();
     auto const runs = std::exchange(executor.runs, {});
     executor.used = {};
     executor.clock.reset();
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -116,6 +116,7 @@
     {
         return;
     }
+    withheld_tasks = tasks_with_late_starts();
     auto pools = executor_pools(context.now);
     std::vector<std::pair<serving_position, job_record*>> order;
     order.reserve(waiting.size());
@@ -247,7 +248,7 @@
         auto const index = static_cast<std::uint16_t>(i);
         leased_task const task{job.job.id, group, index};
         if (tasks[index].phase != task_phase::waiting ||
-            !crashes.is_suspect(task))
+            !crashes.is_suspect(task) || withheld_tasks.contains(task))
         {
             continue;
         }
@@ -318,8 +319,9 @@
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         auto const index = static_cast<std::uint16_t>(i);
+        leased_task const task{job.job.id, group, index};
         if (tasks[index].phase != task_phase::waiting ||
-            crashes.is_suspect({job.job.id, group, index}))
+            crashes.is_suspect(task) || withheld_tasks.contains(task))
         {
             continue;
         }
@@ -336,7 +338,7 @@
             // suitable executor either.
             return;
         }
-        log_placement(job, {job.job.id, group, index}, *choice, context);
+        log_placement(job, task, *choice, context);
         auto& executor = executors.at(choice->executor);
         start(job, group, index, executor, choice->expected_run, context);
         auto const used = std::ranges::find(candidates, choice->executor,
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -316,8 +316,8 @@
 {
     auto const& [term, highest_term, weight, leaving, free_millicores,
                  expected_wait, configuration_version, time_to_claim, interval,
-                 successors, owner_known, yields_to, evacuated, crashes] =
-        message;
+                 successors, owner_known, yields_to, evacuated, crashes,
+                 highest_token_term] = message;
     std::vector<std::uint32_t> successor_ids;
     successor_ids.reserve(successors.size());
     for (auto const successor : successors)
@@ -353,7 +353,7 @@
                 expected_wait.count(), configuration_version,
                 time_to_claim.count(), interval.count(), successor_list,
                 owner_known, yields_to.value(), evacuated.version, domain_list,
-                crash_list)
+                crash_list, highest_token_term)
                 .Union()};
 }
 
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -136,6 +136,7 @@
     core::owner_heartbeat message;
     message.term = source.term();
     message.highest_term = source.highest_term();
+    message.highest_token_term = source.highest_token_term();
     message.weight = source.weight();
     message.leaving = source.leaving();
     message.free_millicores = source.free_millicores();
--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -125,10 +125,16 @@
     }
 }
 
+fencing_token fleet_owner::token_of(std::uint64_t claim)
+{
+    constexpr std::uint64_t claim_step = std::uint64_t{1} << 30;
+    return fencing_token{claim * claim_step};
+}
+
 void fleet_owner::take_over(std::uint64_t token, bool roster_known)
 {
     std::vector<scheduler_action> out;
-    scheduler.take_over(fencing_token{token}, roster_known, fleet_.now(), out);
+    scheduler.take_over(token_of(token), roster_known, fleet_.now(), out);
     apply(out);
 }
 
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -32,6 +32,9 @@
     void list(core::executor_id id,
               core::executor_description const& description);
     void unlist(core::executor_id id);
+    /// @brief Returns the token of the n-th claim. It leaves room for the
+    /// renewals of an owner's token, which stay below the next claim.
+    [[nodiscard]] static core::fencing_token token_of(std::uint64_t claim);
     void take_over(std::uint64_t token, bool roster_known);
     void offer(core::leased_job const& job, bool resumed = false,
                core::instance_id origin = core::instance_id{1},
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -68,6 +68,7 @@
     core::owner_heartbeat heartbeat;
     heartbeat.term = 29;
     heartbeat.highest_term = 30;
+    heartbeat.highest_token_term = 31;
     heartbeat.weight = 31;
     heartbeat.leaving = true;
     heartbeat.free_millicores = 32;
--- a/tests/unit/owner_probe.cpp
+++ b/tests/unit/owner_probe.cpp
@@ -245,13 +245,13 @@
         owner.start(owner_term);
         other.list_all();
         std::vector<scheduler_action> probes;
-        other.scheduler.probe_owner(fencing_token{owner_term}, fleet.now(),
-                                    probes);
+        other.scheduler.probe_owner(tests::fleet_owner::token_of(owner_term),
+                                    fleet.now(), probes);
         CPPUNIT_ASSERT(!probes.empty());
         auto const& order = std::get<poll_executor>(probes.front());
         std::vector<scheduler_action> claims;
-        other.scheduler.take_over(fencing_token{owner_term + 1}, true,
-                                  fleet.now(), claims);
+        other.scheduler.take_over(tests::fleet_owner::token_of(owner_term + 1),
+                                  true, fleet.now(), claims);
         poll_answer late;
         late.order = order.order;
         late.executor = order.executor;
@@ -325,8 +325,8 @@
     static void probe(tests::executor_fleet& fleet, tests::fleet_owner& other)
     {
         std::vector<scheduler_action> out;
-        other.scheduler.probe_owner(fencing_token{owner_term}, fleet.now(),
-                                    out);
+        other.scheduler.probe_owner(tests::fleet_owner::token_of(owner_term),
+                                    fleet.now(), out);
         other.apply(out);
         fleet.run_for(milliseconds{110});
     }
