Count a list of executors as complete only if its owner has read it

Cause: an instance that restarted while the store did not answer claimed ownership without any executor, counted its list as complete because it had claimed, and sent it as such to its successors, which dropped their executors. A successor that was then cut off claimed with the empty list while the owner lived: no executor was unclaimed, so a resumed job did not wait for the runs of the other owner, and its task started on an executor that was listed later. Change: roster_status decides whether the list is complete: received as such from the owner, or read from the store by the owner itself, with the time that lapsed entries need to return. An incomplete list is added to the known one, and a claim after it waits for the leases. An owner completes its list later, so that resumed jobs do not wait for its whole term.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -10,6 +10,7 @@
 #include "goldcrestgate/core/leasing/domain_ownership.hpp"
 #include "goldcrestgate/core/leasing/job_gateway.hpp"
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
+#include "goldcrestgate/core/leasing/roster_status.hpp"
 #include "goldcrestgate/core/leasing/route_table.hpp"
 #include "goldcrestgate/core/leasing/speed_report.hpp"
 #include "goldcrestgate/io/http_server.hpp"
@@ -91,6 +92,8 @@
     void answer_heartbeat(core::instance_key const& from,
                           core::owner_heartbeat const& heartbeat);
     void follow_succession();
+    /// Completes the owner's list of executors after it has read all entries.
+    void complete_roster();
     void send_roster();
     void send_speeds();
     void adopt_speeds(core::instance_id owner,
@@ -163,11 +166,7 @@
     /// The last process of each instance that was connected.
     std::map<core::instance_id, core::instance_key> last_incarnations_;
     std::map<core::instance_id, std::string> known_peers_;
-    /// Term of the owner whose complete executor roster is known; 0 if there is
-    /// none.
-    std::uint64_t roster_term_ = 0;
-    /// Highest term of an owner of the own failure domain so far.
-    std::uint64_t last_owner_term_ = 0;
+    core::roster_status roster_;
     bool roster_changed_ = false;
     core::speed_report speed_report_;
     core::time_point speeds_sent_at_{};
--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -70,6 +70,11 @@
     [[nodiscard]] std::optional<core::executor_id>
     find(std::string_view name) const;
 
+    /// @brief Returns whether each executor whose process lives is in the list:
+    /// the latest snapshot was read after the last failed read, and the entries
+    /// that lapsed before have had the time to return.
+    [[nodiscard]] bool is_complete(core::time_point now) const;
+
     /// @brief Suspends the removal of missing executors until entries are read
     /// again, as the store cannot be reached.
     void mark_store_unreachable()
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -127,6 +127,9 @@
     /// The term of the owner.
     std::uint64_t term = 0;
     std::vector<executor_description> executors;
+    /// Whether no executor is missing on which an owner may have runs; false
+    /// while the owner itself does not know all executors.
+    bool complete = false;
 };
 
 /// @brief Addresses of instances for connections between instances.
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -92,6 +92,13 @@
 
     // --- executors ---
 
+    /// @brief Handles that all executors on which an earlier owner may have
+    /// runs are listed now.
+    void roster_completed()
+    {
+        state_.roster_known = true;
+    }
+
     /// @brief Adds an executor or updates its description.
     void list(executor_id executor, executor_description const& description,
               time_point now, std::vector<scheduler_action>& out);
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -3226,7 +3226,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TERM = 4,
-    VT_EXECUTORS = 6
+    VT_EXECUTORS = 6,
+    VT_COMPLETE = 8
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -3234,12 +3235,16 @@
   const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>> *executors() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>> *>(VT_EXECUTORS);
   }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyOffsetRequired(verifier, VT_EXECUTORS) &&
            verifier.VerifyVector(executors()) &&
            verifier.VerifyVectorOfTables(executors()) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            verifier.EndTable();
   }
 };
@@ -3254,6 +3259,9 @@
   void add_executors(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>>> executors) {
     fbb_.AddOffset(ExecutorRoster::VT_EXECUTORS, executors);
   }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(ExecutorRoster::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
   explicit ExecutorRosterBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3269,10 +3277,12 @@
 inline flatbuffers::Offset<ExecutorRoster> CreateExecutorRoster(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>>> executors = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>>> executors = 0,
+    bool complete = false) {
   ExecutorRosterBuilder builder_(_fbb);
   builder_.add_term(term);
   builder_.add_executors(executors);
+  builder_.add_complete(complete);
   return builder_.Finish();
 }
 
@@ -3284,12 +3294,14 @@
 inline flatbuffers::Offset<ExecutorRoster> CreateExecutorRosterDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t term = 0,
-    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>> *executors = nullptr) {
+    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>> *executors = nullptr,
+    bool complete = false) {
   auto executors__ = executors ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorDescription>>(*executors) : 0;
   return goldcrestgate::wire::detail::CreateExecutorRoster(
       _fbb,
       term,
-      executors__);
+      executors__,
+      complete);
 }
 
 struct PeerAddresses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -379,6 +379,7 @@
     directory_.expire(now);
     decide_ownership();
     follow_succession();
+    complete_roster();
     send_roster();
     send_speeds();
     std::vector<core::scheduler_action> orders;
--- a/src/app/entry/entry_ownership.cpp
+++ b/src/app/entry/entry_ownership.cpp
@@ -28,11 +28,8 @@
         log_.write(log_line{log_level::info, "ownership_claimed"}
                        .text("reason", claim->reason)
                        .number("term", static_cast<std::int64_t>(claim->term)));
-        bool const roster_known =
-            roster_term_ != 0 && roster_term_ >= last_owner_term_;
-        scheduler_.take_over(claim->token, roster_known, now, out);
-        roster_term_ = claim->term;
-        last_owner_term_ = claim->term;
+        scheduler_.take_over(claim->token, roster_.claimed(claim->term), now,
+                             out);
         executors_watch_.resume();
         executors_watch_.refresh();
         informed_successors_.clear();
@@ -46,6 +43,22 @@
     apply(out);
 }
 
+// The successors count the list as complete only after they have received it
+// again.
+void entry_instance::complete_roster()
+{
+    if (!scheduler_.owns() || roster_.complete() ||
+        !directory_.is_complete(loop_.now()))
+    {
+        return;
+    }
+    roster_.entries_read();
+    scheduler_.roster_completed();
+    roster_changed_ = true;
+    log_.write(log_line{log_level::info, "roster_completed"}.number(
+        "count", static_cast<std::int64_t>(directory_.size())));
+}
+
 // Runs before any other event after a pause, so that no order is sent on an
 // ownership that may have passed to a successor meanwhile.
 void entry_instance::handle_pause(core::duration lateness)
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -114,7 +114,7 @@
     if (!is_successor && owner_known_ && !scheduler_.owns())
     {
         // The roster of this instance is no longer kept up to date.
-        roster_term_ = 0;
+        roster_.outdated();
     }
     if (scheduler_.owns() || ownership_.may_claim_soon(now))
     {
@@ -185,8 +185,8 @@
         heartbeat_plan_.expedite(successor);
     }
     send_heartbeats();
-    core::executor_roster const roster{ownership_.term(),
-                                       directory_.descriptions()};
+    core::executor_roster const roster{
+        ownership_.term(), directory_.descriptions(), roster_.complete()};
     for (auto const successor : outdated)
     {
         send(successor, roster);
@@ -338,8 +338,7 @@
                 forward_configuration(from, heartbeat);
                 if (from.domain == self_.domain)
                 {
-                    last_owner_term_ =
-                        std::max(last_owner_term_, heartbeat.term);
+                    roster_.owner_seen(heartbeat.term);
                 }
             },
             [&](core::job_offer const& offer)
@@ -362,17 +361,17 @@
             },
             [&](core::executor_roster const& roster)
             {
-                if (roster.term >= last_owner_term_)
+                if (!roster_.is_current(roster))
                 {
-                    roster_term_ = roster.term;
-                    if (executors_watch_.active())
-                    {
-                        directory_.merge(roster.executors, now);
-                    }
-                    else
-                    {
-                        directory_.replace(roster.executors, now);
-                    }
+                    return;
+                }
+                if (roster_.received(roster) && !executors_watch_.active())
+                {
+                    directory_.replace(roster.executors, now);
+                }
+                else
+                {
+                    directory_.merge(roster.executors, now);
                 }
             },
             [&](core::executor_speeds const& report)
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -219,6 +219,12 @@
     return result;
 }
 
+bool executor_directory::is_complete(core::time_point now) const
+{
+    return store_readable_since_ && !follows_roster_ &&
+           now - *store_readable_since_ > missing_entry_timeout;
+}
+
 void executor_directory::expire(core::time_point now)
 {
     std::erase_if(removed_ids_,
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -389,7 +389,7 @@
 
 encoded_message encode(builder& out, core::executor_roster const& message)
 {
-    auto const& [term, executors] = message;
+    auto const& [term, executors, complete] = message;
     std::vector<fb::Offset<detail::ExecutorDescription>> entries;
     entries.reserve(executors.size());
     for (auto const& executor : executors)
@@ -398,7 +398,7 @@
     }
     auto const list = out.CreateVector(entries);
     return {detail::Message::ExecutorRoster,
-            detail::CreateExecutorRoster(out, term, list).Union()};
+            detail::CreateExecutorRoster(out, term, list, complete).Union()};
 }
 
 encoded_message encode(builder& out, core::peer_addresses const& message)
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -185,6 +185,7 @@
 {
     core::executor_roster message;
     message.term = source.term();
+    message.complete = source.complete();
     for (auto const* const entry : *source.executors())
     {
         auto const& capacity = *entry->capacity();
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -125,7 +125,8 @@
                                 {64'000, 1024, 2},
                                 {"a", "r1-2"},
                                 true,
-                                37}}}};
+                                37}},
+                              true}};
 }
 
 std::string frame_of(core::peer_message const& message)
