Count no crash under a run that may never have arrived

What callers saw: jobs answered as failed although no task had failed so often (LOST), after crashes of a third of the executors. Cause: after a restart, a crash was counted under each recorded run, also under one that had been sent after the crash and never arrived. Two such counts identify a task as the cause of crashes and end its job. Ruled out: failed runs (the log has none for the job). Change: a crash counts under a run that the executor has accepted or listed, or if it has answered anything since the start was sent.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -300,6 +300,11 @@
     void confirm_crashes(executor_record& executor, scheduler_context& context);
     /// Takes back the possible crashes of an executor that was only silent.
     void refute_crashes(executor_record& executor, scheduler_context& context);
+    /// Whether an earlier process of the executor may have had the run when it
+    /// crashed.
+    [[nodiscard]] static bool
+    may_have_crashed_under(executor_record const& executor,
+                           run_record const& run);
     /// Counts a certain crash.
     void count_crash(executor_record const& executor, task_run const& run,
                      bool alone, scheduler_context& context);
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -406,7 +406,7 @@
     {
         for (auto& run : executor.runs)
         {
-            run.sent_before_restart = true;
+            run.sent_before_restart = may_have_crashed_under(executor, run);
             run.alone_before_restart = executor.runs.size() == 1;
         }
     }
@@ -423,6 +423,14 @@
     repeat_stops(executor, context);
 }
 
+// An executor that has answered nothing since the start was sent may have
+// crashed before the start arrived.
+bool scheduler_state::may_have_crashed_under(executor_record const& executor,
+                                             run_record const& run)
+{
+    return run.confirmed_at != time_point{} || executor.clock_at > run.sent_at;
+}
+
 bool scheduler_state::was_sent_to_present_process(
     executor_record const& executor, order_id order)
 {
@@ -472,7 +480,10 @@
     }
     for (auto const& run : runs)
     {
-        count_crash(executor, run.run, runs.size() == 1, context);
+        if (may_have_crashed_under(executor, run))
+        {
+            count_crash(executor, run.run, runs.size() == 1, context);
+        }
     }
 }
 
