Keep renewed tokens below that of the next owner

What callers saw: nothing; found by review (component trial): a superseded owner renewed its token past that of its successor, so that both were obeyed. Cause: a claim left room for renewals only if one had been announced, so a successor whose clock is behind claimed one above the term that it had heard. Change: a claim exceeds each known term by max_token_renewals. An owner's heartbeat names its own token only, as executors are asked about it with this token.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -106,6 +106,8 @@
     /// Last order that was sent with an earlier token. An executor that refuses
     /// it has seen a renewed token, not that of another owner.
     order_id last_order_of_earlier_token;
+    /// Renewals of the token since ownership was taken.
+    std::uint64_t token_renewals = 0;
     time_point owner_since{};
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
@@ -229,7 +231,8 @@
                                scheduler_context& context);
     /// Gives all later orders a higher token. An executor that gets one of them
     /// refuses the earlier orders, which may arrive late: a new process of an
-    /// executor would carry them out, as it knows no token and no run.
+    /// executor would carry them out, as it knows no token and no run. The
+    /// token stays below that of the next owner, whose clock may be behind.
     void renew_token(std::string_view reason, executor_record const& executor,
                      scheduler_context& context);
     /// Whether an executor refused an order because it has seen a later token
--- a/include/goldcrestgate/core/leasing/domain_ownership.hpp
+++ b/include/goldcrestgate/core/leasing/domain_ownership.hpp
@@ -205,6 +205,8 @@
     time_point claim_allowed_at_;
     std::uint64_t term_ = 0;
     std::uint64_t highest_term_ = 0;
+    /// Term of the own token since its last renewal; 0 before the first one.
+    std::uint64_t renewed_term_ = 0;
     /// Highest term of a renewed token that is known in the failure domain.
     std::uint64_t highest_token_term_ = 0;
     bool leaving_ = false;
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -96,8 +96,8 @@
     evacuations evacuated;
     /// Crashes that the sender, as an owner, has counted under tasks.
     std::vector<task_crashes> crashes;
-    /// Highest term of a renewed token that it knows in its failure domain; 0
-    /// without one.
+    /// Term of the sender's renewed token if it is the owner, otherwise the
+    /// highest one that it knows in its failure domain; 0 without one.
     std::uint64_t highest_token_term = 0;
 };
 
--- a/include/goldcrestgate/core/leasing/owner_token.hpp
+++ b/include/goldcrestgate/core/leasing/owner_token.hpp
@@ -17,6 +17,10 @@
 
 } // namespace detail
 
+/// Renewals of a token before the next claim of another instance; a claim
+/// exceeds each term that is known by this number.
+inline constexpr std::uint64_t max_token_renewals = 1'000;
+
 /// @brief Returns the token of an owner for its orders to executors.
 /// @param term term of the ownership, or of the last renewal of its token
 /// @pre the term has at most 54 bits
--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -81,11 +81,6 @@
 /// differ by seconds, so an earlier owner may have used a later time.
 constexpr std::uint64_t refused_term_step_ms = 5'000;
 
-/// Number of renewals by which the token of an owner may exceed the last one
-/// that it has announced. Heartbeats are sent every 100 ms, and an owner renews
-/// its token at most once for each order without an answer.
-constexpr std::uint64_t max_unannounced_renewals = 2'000;
-
 } // namespace
 
 domain_ownership::domain_ownership(instance_key self, std::uint32_t weight,
@@ -200,7 +195,8 @@
 {
     if (token_term(token) > term_)
     {
-        highest_token_term_ = std::max(highest_token_term_, token_term(token));
+        renewed_term_ = token_term(token);
+        highest_token_term_ = std::max(highest_token_term_, renewed_term_);
     }
 }
 
@@ -343,11 +339,13 @@
     }
     last_owner_ = {};
     yield_checked_at_ = now;
-    bool const token_renewed = highest_token_term_ > highest_term_;
-    term_ = std::max(
-        {unix_ms, highest_term_ + 1,
-         token_renewed ? highest_token_term_ + max_unannounced_renewals : 0});
+    // The last owner may live and have renewed its token since it was heard.
+    auto const known_term = std::max(highest_term_, highest_token_term_);
+    term_ = known_term == 0
+                ? unix_ms
+                : std::max(unix_ms, known_term + max_token_renewals);
     highest_term_ = term_;
+    renewed_term_ = 0;
     return claim_ownership{term_, make_owner_token(term_, self_.instance),
                            invited        ? "invited"
                            : owner_silent ? "owner_silent"
--- a/src/core/leasing/domain_ownership_views.cpp
+++ b/src/core/leasing/domain_ownership_views.cpp
@@ -20,7 +20,9 @@
     owner_heartbeat message;
     message.term = term_;
     message.highest_term = highest_term_;
-    message.highest_token_term = highest_token_term_;
+    // Executors are asked about an owner with its own token.
+    message.highest_token_term =
+        term_ != 0 ? renewed_term_ : highest_token_term_;
     message.weight = weight_;
     message.leaving = leaving_;
     message.free_millicores = free_millicores;
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -39,6 +39,7 @@
     state_.fenced = false;
     state_.token = token;
     state_.last_order_of_earlier_token = order_id{state_.last_order};
+    state_.token_renewals = 0;
     state_.owner_since = now;
     state_.roster_known = roster_known;
     scheduler_log_event log_event{.event = "ownership_taken"};
