Claim no executor whose runs cannot be read

Cause: an answer to the first poll counted as a claim although its list of runs was incomplete, so that all runs of an earlier owner counted as known. Result: unreadable_runs_at_a_claim_are_awaited passes.

--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -159,6 +159,12 @@
     executor.unresponsive = false;
     executor.health.record_answer();
     log_late_runs(executor, answer, is_latest, context);
+    if (!executor.claimed && !answer.complete)
+    {
+        // A run that cannot be read may be that of an earlier owner.
+        executor.next_poll_at = context.now + poll_retry_delay;
+        return;
+    }
     if (!executor.claimed)
     {
         claim_answered(executor, answer, context);
