Pass on unlisted executors with runs and outdate lists at a release

Cause: the same class as the list of an owner without executors: a list counted as complete that was not. It lacked unlisted executors that still have runs; it stayed complete after a release, although another owner may use executors that this instance does not know; the terms that other instances had heard of were not compared; entries read before a pause counted as read after the claim. Change: the list for the successors has these executors, as draining; a release outdates the list; a claim without a complete list starts the reading anew. Result: unlisted_executor_with_a_run_is_passed_on passes; unit tests as before.

--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -107,6 +107,10 @@
     /// tasks.
     void unlist(executor_id executor, time_point now);
 
+    /// @brief Returns the executors that are no longer listed and may have
+    /// runs, marked as draining, so that they get no new ones.
+    [[nodiscard]] std::vector<executor_description> unlisted_executors() const;
+
     // --- jobs ---
 
     /// @brief Accepts a job, or updates the origin of a job that is already
--- a/src/app/entry/entry_ownership.cpp
+++ b/src/app/entry/entry_ownership.cpp
@@ -30,6 +30,11 @@
                        .number("term", static_cast<std::int64_t>(claim->term)));
         scheduler_.take_over(claim->token, roster_.claimed(claim->term), now,
                              out);
+        if (!roster_.complete())
+        {
+            // The entries read so far may date from before a pause.
+            directory_.mark_store_unreachable();
+        }
         executors_watch_.resume();
         executors_watch_.refresh();
         informed_successors_.clear();
@@ -38,6 +43,8 @@
     else if (std::holds_alternative<core::release_ownership>(decision))
     {
         scheduler_.release_ownership(now, out);
+        // Another owner may use executors that this instance does not know.
+        roster_.outdated();
         announce();
     }
     apply(out);
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestgate/core/detail/overloaded.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace goldcrestgate::app
@@ -185,8 +186,10 @@
         heartbeat_plan_.expedite(successor);
     }
     send_heartbeats();
-    core::executor_roster const roster{
-        ownership_.term(), directory_.descriptions(), roster_.complete()};
+    core::executor_roster roster{ownership_.term(), directory_.descriptions(),
+                                 roster_.complete()};
+    std::ranges::move(scheduler_.unlisted_executors(),
+                      std::back_inserter(roster.executors));
     for (auto const successor : outdated)
     {
         send(successor, roster);
@@ -338,7 +341,8 @@
                 forward_configuration(from, heartbeat);
                 if (from.domain == self_.domain)
                 {
-                    roster_.owner_seen(heartbeat.term);
+                    roster_.owner_seen(
+                        std::max(heartbeat.term, heartbeat.highest_term));
                 }
             },
             [&](core::job_offer const& offer)
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -166,6 +166,20 @@
     }
 }
 
+std::vector<executor_description> job_scheduler::unlisted_executors() const
+{
+    std::vector<executor_description> unlisted;
+    for (auto const& [id, executor] : state_.executors)
+    {
+        if (!executor.listed)
+        {
+            unlisted.push_back(executor.description);
+            unlisted.back().draining = true;
+        }
+    }
+    return unlisted;
+}
+
 void job_scheduler::unlist(executor_id id, time_point now)
 {
     auto const found = state_.executors.find(id);
