--- a/include/goldcrestgate/core/leasing/roster_status.hpp
+++ b/include/goldcrestgate/core/leasing/roster_status.hpp
@@ -59,11 +59,6 @@
         return complete_term_ != 0 && complete_term_ >= last_owner_term_;
     }
 
-    [[nodiscard]] std::uint64_t last_owner_term() const
-    {
-        return last_owner_term_;
-    }
-
 private:
     /// Highest term of an owner that is known.
     std::uint64_t last_owner_term_ = 0;
--- a/tests/unit/roster_status.cpp
+++ b/tests/unit/roster_status.cpp
@@ -6,7 +6,6 @@
 namespace
 {
 
-using goldcrestgate::core::executor_roster;
 using goldcrestgate::core::roster_status;
 
 class roster_status_test : public CppUnit::TestFixture
