Make the jobs of patient callers in one place in the tests

Change: make_patient_job in tests/support/fleet_owner; times, schedules and assertions are as before.

--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -238,4 +238,13 @@
     return job;
 }
 
+leased_job make_patient_job(std::uint64_t id, duration estimate,
+                            duration time_limit)
+{
+    auto job = make_leased_job(id, 1, estimate);
+    job.objective = time_limit - milliseconds{500};
+    job.time_limit = time_limit;
+    return job;
+}
+
 } // namespace goldcrestgate::tests
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -86,4 +86,11 @@
 [[nodiscard]] core::leased_job
 make_leased_job(std::uint64_t id, std::uint16_t tasks, core::duration estimate);
 
+/// @brief Makes a job of one task whose caller waits until the time limit; it
+/// outlasts silences and restarts of its executor.
+/// @pre the time limit is over 0.5 s
+[[nodiscard]] core::leased_job make_patient_job(std::uint64_t id,
+                                                core::duration estimate,
+                                                core::duration time_limit);
+
 } // namespace goldcrestgate::tests
--- a/tests/unit/late_poll_after_restart.cpp
+++ b/tests/unit/late_poll_after_restart.cpp
@@ -55,10 +55,7 @@
 private:
     static leased_job make_job(std::uint64_t id, duration work)
     {
-        auto job = tests::make_leased_job(id, 1, work);
-        job.objective = milliseconds{9000};
-        job.time_limit = milliseconds{9500};
-        return job;
+        return tests::make_patient_job(id, work, milliseconds{9500});
     }
 };
 
--- a/tests/unit/late_poll_forgets_end.cpp
+++ b/tests/unit/late_poll_forgets_end.cpp
@@ -53,10 +53,7 @@
 private:
     static leased_job make_job(std::uint64_t id, duration work)
     {
-        auto job = tests::make_leased_job(id, 1, work);
-        job.objective = milliseconds{19'000};
-        job.time_limit = milliseconds{19'500};
-        return job;
+        return tests::make_patient_job(id, work, milliseconds{19'500});
     }
 };
 
--- a/tests/unit/owner_without_executors.cpp
+++ b/tests/unit/owner_without_executors.cpp
@@ -48,11 +48,8 @@
 private:
     static leased_job make_job(std::uint64_t id)
     {
-        auto job =
-            goldcrestgate::tests::make_leased_job(id, 1, milliseconds{2000});
-        job.objective = milliseconds{9000};
-        job.time_limit = milliseconds{9500};
-        return job;
+        return goldcrestgate::tests::make_patient_job(id, milliseconds{2000},
+                                                      milliseconds{9500});
     }
 
     // The list of an owner that restarted without access to the store reaches
--- a/tests/unit/partial_lists_at_claims.cpp
+++ b/tests/unit/partial_lists_at_claims.cpp
@@ -13,7 +13,7 @@
 using namespace goldcrestgate::core;
 using goldcrestgate::tests::executor_fleet;
 using goldcrestgate::tests::fleet_owner;
-using goldcrestgate::tests::make_leased_job;
+using goldcrestgate::tests::make_patient_job;
 using std::chrono::milliseconds;
 
 class partial_lists_at_claims_test : public CppUnit::TestFixture
@@ -113,9 +113,8 @@
 private:
     static leased_job start_long_job(executor_fleet& fleet, fleet_owner& owner)
     {
-        auto job = make_leased_job(1, 1, milliseconds{2'000});
-        job.objective = milliseconds{9'000};
-        job.time_limit = milliseconds{9'500};
+        auto job =
+            make_patient_job(1, milliseconds{2'000}, milliseconds{9'500});
         owner.submit(job, milliseconds{2'000});
         fleet.run_for(milliseconds{30});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(job.id));
--- a/tests/unit/silent_executor_with_long_run.cpp
+++ b/tests/unit/silent_executor_with_long_run.cpp
@@ -31,9 +31,8 @@
         owner.list(first);
         owner.take_over(1, true);
         fleet.run_for(milliseconds{150});
-        auto job = tests::make_leased_job(1, 1, milliseconds{3000});
-        job.objective = milliseconds{9000};
-        job.time_limit = milliseconds{9500};
+        auto const job =
+            tests::make_patient_job(1, milliseconds{3000}, milliseconds{9500});
         owner.submit(job, milliseconds{3000});
         fleet.run_for(milliseconds{500});
         owner.list(executor_id{2});
