--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,6 @@
-"""A client cancels its running job. The system acknowledges with 410 and goes
-on starting the job's tasks."""
+"""A start order gets no answer. Its executor crashes and starts again under the
+id that it had, and the new process carries the order out, while the task runs
+on another executor."""
 
 import asyncio
 import os
@@ -9,51 +10,60 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 
-from platform_stand import STOP_TIMEOUT_MS, World, call, job, now_s, run_case
+import platform_stand
+from platform_stand import Executor, World, job, run_case
 
-CANCEL_MS = 3000
-DEADLINE_MS = 15_000
-STEPS = 8
-WORK_MS = 1000
-JOB = "00000000000000c1"
+ROUNDS = 4
+DEADLINE_MS = 9000
+WORK_MS = 5000
+LATE_S = 2.4    # applied_late: carried out 2 to 12 s later
+DOWN_S = 0.3    # srv_crash
+
+
+class LateExecutor(Executor):
+    """Leaves the first start unanswered that arrives while `world.holds`."""
+
+    async def handle(self, method, target, headers, body):
+        holds = getattr(self.world, "holds", None)
+        if holds is not None and not holds and \
+                target.startswith("/api/run-start"):
+            holds.append((self, (method, target, headers, body)))
+            self.world.record.write("order_unanswered", executor=self.name,
+                                    body=body.decode())
+            return None
+        return await super().handle(method, target, headers, body)
 
 
 async def play(world, trouble):
-    steps = [{"count": 2, "cpu": 2000, "mem_mb": 64, "estimated_ms": WORK_MS,
-              **({"after": [index - 1]} if index else {})}
-             for index in range(STEPS)]
-    node = world.instances[0]
-    request = asyncio.create_task(
-        world.submit(node, JOB, job(steps, WORK_MS), DEADLINE_MS))
-    breaks = []
-    if trouble:
-        await world.until(lambda: world.runs, 5, "start of the job")
-        await asyncio.sleep(0.5)
-        status, _ = await call(node.callers, "DELETE", world.prefix + JOB,
-                               {"host": world.host})
-        cancelled = now_s()
-        world.record.write("client_cancels", job=JOB, to=node.name,
-                           status=status)
-        acknowledged = 200 <= status < 300 or status == 410
-        if not acknowledged:
-            breaks.append(f"the cancel was answered {status}")
-    answer = await request
-    if trouble and acknowledged:
-        late = [run for run in world.runs
-                if run["begin"] > cancelled + CANCEL_MS / 1000]
-        on = [run for run in world.runs
-              if (run["end"] or now_s()) > cancelled +
-              (CANCEL_MS + STOP_TIMEOUT_MS) / 1000]
-        if late or on:
-            breaks.append(
-                f"DELETE was answered {status} at {cancelled:.2f} s; later "
-                f"than cancel_ms after it {len(late)} tasks were started, the "
-                f"last {late[-1]['task']} {late[-1]['begin'] - cancelled:.2f} "
-                f"s after it; the job was answered {answer}")
-    if not trouble and answer != 200:
-        breaks.append(f"the client got {answer}")
-    return breaks
-
-
-run_case(World(HERE, {"north": 2, "south": 1}, 3, timeout_ms=DEADLINE_MS,
-               stretch=3), play)
+    body = job([{"count": 1, "cpu": 27000, "mem_mb": 64,
+                 "estimated_ms": WORK_MS}], WORK_MS)
+    node = next(i for i in world.instances if i.zone == "north")
+    answers = []
+    for turn in range(ROUNDS):
+        holds = []
+        world.holds = holds if trouble else None
+        request = asyncio.create_task(world.submit(
+            node, f"{0xf00 + turn:016x}", body, DEADLINE_MS))
+        if trouble:
+            await world.until(lambda: holds, 5, "a start order")
+            executor, order = holds[0]
+            await asyncio.sleep(LATE_S - DOWN_S)
+            ip, port = executor.address.split(":")
+            await executor.crash()
+            world.record.write("executor_crashed", executor=executor.name)
+            await asyncio.sleep(DOWN_S)
+            await executor.begin(ip, int(port))
+            world.record.write("executor_restarted", executor=executor.name)
+            await Executor.handle(executor, *order)
+        answers.append(await request)
+    world.record.write("answers", answers=answers)
+    return [
+        f"task {a['task']}: run {a['execution']} on {a['executor'].name} and "
+        f"run {b['execution']} on {b['executor'].name} at the same time for "
+        f"{overlap * 1000:.0f} ms"
+        for a, b, overlap in world.simultaneous_runs()]
+
+
+platform_stand.Executor = LateExecutor
+run_case(World(HERE, {"north": 2, "south": 1}, 8, timeout_ms=DEADLINE_MS,
+               stretch=2), play)
