--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,89 +1,61 @@
-"""The owner of a zone is killed while a job of many steps runs; its successor
-takes over the running task of a late step."""
+"""The only entry instance of a zone stands still for some seconds. Its
+clients get no answer within their time and send their jobs again, as the
+pages say. When the machine wakes, it runs what they sent first."""
 
 import asyncio
 import os
 import signal
 import sys
-import time
 
 sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 
-from platform_stand import World, call, job, run_case
+from platform_stand import RESEND_MS, World, job, run_case
 
-STEPS = 40
-WORK_MS = 60
-KILL_AT_STEP = 34
-JOB = "00000000000000a1"
-DEADLINE_MS = 10_000
-SILENCE_S = 8.0  # several times contact_ms; the platform asks once a second
+FREEZE_S = 4.0      # node_freeze, for_s = 4.0
+DEADLINE_MS = 1500  # batch-release
+WORK_MS = 900       # batch-release
+JOBS = 16           # sent over the freeze, one each 200 ms
+ATTEMPTS = 3
 
 
-def body():
-    """Each step comes after all earlier ones."""
-    steps = []
-    for index in range(STEPS):
-        step = {"count": 1, "cpu": 1000, "mem_mb": 64,
-                "estimated_ms": WORK_MS}
-        if index > 0:
-            step["after"] = list(range(index))
-        steps.append(step)
-    return job(steps, WORK_MS)
-
-
-async def silent_time(world, instance, limit_s):
-    """Returns for how long the instance, whose process runs, has given no
-    answer to the platform's question, which is asked once a second."""
-    begin = time.monotonic()
-    while time.monotonic() - begin < limit_s:
-        if not instance.running():
-            return 0.0
-        try:
-            status, _ = await call(instance.ready_at, "GET", "/api/readyz",
-                                   timeout_s=1.0)
-        except (OSError, asyncio.TimeoutError):
-            status = None
-        world.record.write("readyz", instance=instance.name, status=status)
-        if status is not None:
-            return 0.0
-    return time.monotonic() - begin
+async def client(world, nodes, job_id, body):
+    """Sends a job until it has an answer, each time to the next node."""
+    for attempt in range(1, ATTEMPTS + 1):
+        node = nodes[(attempt - 1) % len(nodes)]
+        status = await world.submit(node, job_id, body, DEADLINE_MS, attempt)
+        if status not in (None, 502, 504):
+            return status
+        await asyncio.sleep(RESEND_MS / 1000)
+    return None
 
 
 async def play(world, trouble):
-    owner = await world.owner("north")
-    others = [i for i in world.instances
-              if i.zone == "north" and i is not owner]
-    request = asyncio.create_task(
-        world.submit(others[-1], JOB, body(), DEADLINE_MS))
-    silent = []
+    await asyncio.sleep(1.0)
+    body = job([{"count": 1, "cpu": 20000, "mem_mb": 64,
+                 "estimated_ms": WORK_MS}], WORK_MS)
+    frozen = next(i for i in world.instances if i.zone == "south")
+    others = [i for i in world.instances if i.zone != "south"]
     if trouble:
-        task = f"{JOB}.0.{KILL_AT_STEP}.0"
-        await world.until(
-            lambda: any(run["task"] == task for run in world.runs), 9,
-            "start of the late step")
-        owner.signal(signal.SIGKILL)
-        owner.process.wait()
-        await asyncio.sleep(3.0)
-        used = [i.cpu_s() if i.running() else 0.0 for i in others]
-        silent = await asyncio.gather(*(silent_time(world, i, SILENCE_S)
-                                        for i in others))
-        used = [i.cpu_s() - before if i.running() else 0.0
-                for i, before in zip(others, used)]
-    status = await request
-    breaks = [
-        f"{instance.name} runs, was never stopped or slowed, and gives no "
-        f"answer to GET /api/readyz for {silent_s:.0f} s, from 3 s after the "
-        f"kill of {owner.name} on; it used {used_s:.1f} s of processor time "
-        f"meanwhile; the job's client got {status}"
-        for instance, silent_s, used_s in zip(others, silent, used if trouble
-                                              else [])
-        if silent_s >= SILENCE_S]
-    if not trouble and status != 200:
-        breaks.append(f"the client got {status}")
-    return breaks
-
-
-run_case(World(HERE, {"north": 3, "south": 1}, 4, timeout_ms=DEADLINE_MS,
-               stretch=3), play)
+        frozen.signal(signal.SIGSTOP)
+        wake = asyncio.get_running_loop().call_later(
+            FREEZE_S, frozen.signal, signal.SIGCONT)
+    clients = []
+    for number in range(JOBS):
+        await asyncio.sleep(0.2)
+        nodes = [frozen, others[number % len(others)]]
+        clients.append(asyncio.create_task(
+            client(world, nodes, f"{0xb0 + number:016x}", body)))
+    answers = await asyncio.gather(*clients)
+    await asyncio.sleep(1.5)
+    world.record.write("answers", answers=answers)
+    return [
+        f"task {a['task']}: run {a['execution']} on {a['executor'].name} "
+        f"({a['executor'].zone}) and run {b['execution']} on "
+        f"{b['executor'].name} ({b['executor'].zone}) at the same time for "
+        f"{overlap * 1000:.0f} ms"
+        for a, b, overlap in world.simultaneous_runs()]
+
+
+run_case(World(HERE, {"north": 2, "east": 2, "south": 1}, 6), play)
--- a/review/stand/platform_stand.py
+++ b/review/stand/platform_stand.py
@@ -131,7 +131,7 @@
 
 
 async def call(address, method, path, headers=None, body=b"", timeout_s=10.0,
-               source=None):
+               opened=None):
     """Sends a request on a new connection. Returns (status, text); raises
     OSError or TimeoutError when there is no whole answer. The connection is
     closed in each case."""
@@ -141,7 +141,9 @@
     async def exchange():
         nonlocal writer
         reader, writer = await asyncio.open_connection(
-            host, int(port), local_addr=(source, 0) if source else None)
+            host, int(port))
+        if opened is not None:
+            opened.append(writer)
         lines = [f"{method} {path} HTTP/1.1"]
         fields = {"host": address, "content-length": str(len(body)),
                   **(headers or {})}
@@ -446,9 +448,14 @@
             f"{ip}:{port}" for port in self.ports)
         self.process = None
         self.frozen = False
+        self.relay = None
+
+    @property
+    def seed_address(self):
+        return self.relay.address if self.relay else self.peers
 
     def start(self):
-        seeds = [i.peers for i in self.world.instances[:3]]
+        seeds = [i.seed_address for i in self.world.instances[:3]]
         fields = {
             "node_name": self.name, "zone": self.zone, "ip": self.ip,
             "zones": {zone: "region" for zone in self.world.zones},
@@ -540,13 +547,83 @@
         return port
 
 
+class Relay:
+    """A network path to an instance's listener for other instances, whose
+    connections can be reset."""
+
+    def __init__(self, target):
+        self.target = target
+        # The two ends of each connection, and what was sent first on it.
+        self.pairs = {}
+        self.server = None
+        self.address = None
+
+    async def listen(self, ip):
+        self.server = await asyncio.start_server(self.serve, ip,
+                                                 free_port(ip))
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def serve(self, reader, writer):
+        host, port = self.target.rsplit(":", 1)
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, target_writer)
+        self.pairs[pair] = b""
+        await asyncio.gather(self.forward(reader, target_writer, pair),
+                             self.forward(target_reader, writer))
+        del self.pairs[pair]
+        for end in pair:
+            end.close()
+
+    async def forward(self, reader, writer, pair=None):
+        try:
+            while data := await reader.read(65536):
+                if pair is not None:
+                    self.pairs[pair] = self.pairs[pair] or data
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+    def reset(self, source=None):
+        """Resets all connections, or those of one instance, which names its
+        address in its first message. Returns their number."""
+        chosen = [pair for pair, first in self.pairs.items()
+                  if source is None or source.peers.encode() in first]
+        for pair in chosen:
+            for end in pair:
+                reset(end)
+        return len(chosen)
+
+    def close(self):
+        self.server.close()
+        self.reset()
+
+
+def reset(writer):
+    """Ends a connection with a reset on both sides."""
+    connection = writer.get_extra_info("socket")
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              struct.pack("ii", 1, 0))
+    except OSError:
+        pass
+    writer.transport.abort()
+
+
 # --- a small deployment ---
 
 class World:
     """Store, executors and instances of one run of a case."""
 
     def __init__(self, case_folder, machines, executors_per_zone,
-                 timeout_ms=1500, stretch=1.6, labels=None):
+                 timeout_ms=1500, stretch=1.6, labels=None, relays=False):
         """`machines` maps each zone to its number of entry instances."""
         self.record = Record(os.path.join(case_folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="goldcrestgate-review-")
@@ -556,6 +633,7 @@
         self.timeout_ms = timeout_ms
         self.stretch = stretch
         self.labels = labels or (lambda zone, index: ["a", f"r-{zone}-1"])
+        self.relays = relays
         self.service = "desk"
         self.host = "desk.example"
         self.prefix = "/desk/"
@@ -584,6 +662,10 @@
                                     self.labels(zone, index))
                 self.executors.append(executor)
                 await executor.begin("127.0.0.1")
+        for instance in self.instances:
+            if self.relays:
+                instance.relay = Relay(instance.peers)
+                await instance.relay.listen(instance.ip)
         for instance in self.instances:
             instance.start()
         await self.until(self.all_ready, 20, "readiness of all instances")
@@ -679,9 +761,11 @@
 
     # --- clients ---
 
-    async def submit(self, instance, job_id, body, deadline_ms, attempt=1):
+    async def submit(self, instance, job_id, body, deadline_ms, attempt=1,
+                     opened=None):
         """One attempt of a client. Returns its status, or None without an
-        answer; the client then has closed the connection."""
+        answer; the client then has closed the connection. The connection is
+        appended to `opened`."""
         self.jobs[job_id] = body
         self.record.write("client_sends", job=job_id, attempt=attempt,
                           to=instance.name)
@@ -690,7 +774,7 @@
                 instance.callers, "POST", self.prefix + job_id,
                 {"host": self.host, "content-type": "application/json",
                  "Goldcrestgate-Deadline-Ms": str(deadline_ms)},
-                json.dumps(body).encode(), deadline_ms / 1000)
+                json.dumps(body).encode(), deadline_ms / 1000, opened=opened)
         except (OSError, asyncio.TimeoutError) as failure:
             self.record.write("client_gets_nothing", job=job_id,
                               attempt=attempt,
@@ -706,6 +790,8 @@
         self.closed = True
         for instance in self.instances:
             instance.close()
+            if instance.relay:
+                instance.relay.close()
         for executor in self.executors:
             if executor.up:
                 await executor.crash()
