--- a/review/stand/platform_stand.py
+++ b/review/stand/platform_stand.py
@@ -566,10 +566,15 @@
 
     async def serve(self, reader, writer):
         host, port = self.target.rsplit(":", 1)
-        try:
-            target_reader, target_writer = await asyncio.open_connection(
-                host, int(port))
-        except OSError:
+        # The processes of a deployment start within 0.3 s of each other.
+        for _ in range(30):
+            try:
+                target_reader, target_writer = await asyncio.open_connection(
+                    host, int(port))
+                break
+            except OSError:
+                await asyncio.sleep(0.05)
+        else:
             writer.transport.abort()
             return
         pair = (writer, target_writer)
