--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,20 +11,23 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 
-from platform_stand import RESEND_MS, World, job, run_case
+from platform_stand import Ingress, RESEND_MS, World, job, run_case
 
 FREEZE_S = 4.0      # node_freeze, for_s = 4.0
 DEADLINE_MS = 1500  # batch-release
 WORK_MS = 900       # batch-release
-JOBS = 16           # sent over the freeze, one each 200 ms
+JOBS = 24           # of the zone's clients, one each 150 ms
 ATTEMPTS = 3
 
 
-async def client(world, nodes, job_id, body):
-    """Sends a job until it has an answer, each time to the next node."""
+async def client(world, ingress, number, body):
+    """Sends a job until it has an answer, each time to another node."""
+    tried = []
     for attempt in range(1, ATTEMPTS + 1):
-        node = nodes[(attempt - 1) % len(nodes)]
-        status = await world.submit(node, job_id, body, DEADLINE_MS, attempt)
+        node = ingress.node("south", number, tried)
+        tried.append(node)
+        status = await world.submit(node, f"{0xb00 + number:016x}", body,
+                                    DEADLINE_MS, attempt)
         if status not in (None, 502, 504):
             return status
         await asyncio.sleep(RESEND_MS / 1000)
@@ -32,23 +35,23 @@
 
 
 async def play(world, trouble):
+    ingress = Ingress(world)
     await asyncio.sleep(1.0)
     body = job([{"count": 1, "cpu": 20000, "mem_mb": 64,
                  "estimated_ms": WORK_MS}], WORK_MS)
     frozen = next(i for i in world.instances if i.zone == "south")
-    others = [i for i in world.instances if i.zone != "south"]
     if trouble:
         frozen.signal(signal.SIGSTOP)
-        wake = asyncio.get_running_loop().call_later(
+        asyncio.get_running_loop().call_later(
             FREEZE_S, frozen.signal, signal.SIGCONT)
     clients = []
     for number in range(JOBS):
-        await asyncio.sleep(0.2)
-        nodes = [frozen, others[number % len(others)]]
+        await asyncio.sleep(0.15)
         clients.append(asyncio.create_task(
-            client(world, nodes, f"{0xb0 + number:016x}", body)))
+            client(world, ingress, number, body)))
     answers = await asyncio.gather(*clients)
     await asyncio.sleep(1.5)
+    ingress.task.cancel()
     world.record.write("answers", answers=answers)
     return [
         f"task {a['task']}: run {a['execution']} on {a['executor'].name} "
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,7 +11,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 
-from platform_stand import RESEND_MS, World, job, run_case
+from platform_stand import Ingress, RESEND_MS, World, job, run_case
 
 DEADLINE_MS = 6000
 WORK_MS = 2500
@@ -23,8 +23,12 @@
 SECOND_RESTART_DELAY_S = 0.5
 
 
-async def client(world, nodes, job_id, body):
-    for attempt, node in enumerate(nodes, 1):
+async def client(world, ingress, job_id, number, body):
+    """Sends a job until it has an answer, each time to another node."""
+    tried = []
+    for attempt in range(1, 4):
+        node = ingress.node("south", number, tried)
+        tried.append(node)
         status = await world.submit(node, job_id, body, DEADLINE_MS, attempt)
         if status not in (None, 502, 504):
             return status
@@ -47,16 +51,16 @@
     body = job([{"count": 1, "cpu": 2000, "mem_mb": 64,
                  "estimated_ms": WORK_MS}], WORK_MS)
     single = next(i for i in world.instances if i.zone == "south")
-    others = [i for i in world.instances if i.zone == "north"]
+    ingress = Ingress(world)
     turns = [(delay_s, None) for delay_s in RESTART_DELAYS_S]
     turns += [(SECOND_RESTART_DELAY_S, second_s)
               for second_s in SECOND_KILLS_S]
     for turn, (delay_s, second_s) in enumerate(turns):
         clients = []
         for number in range(JOBS):
-            nodes = [single, others[number % 2], others[(number + 1) % 2]]
             clients.append(asyncio.create_task(client(
-                world, nodes, f"{0xe00 + 16 * turn + number:016x}", body)))
+                world, ingress, f"{0xe00 + 16 * turn + number:016x}", number,
+                body)))
             await asyncio.sleep(0.05)
         if trouble:
             single.signal(signal.SIGKILL)
@@ -74,6 +78,8 @@
                            second_kill_s=second_s, answers=answers)
         await world.until(world.all_ready, 10, "readiness")
         await world.until(world.all_claimed, 10, "owners of all executors")
+        await world.until(lambda: ingress.in_rotation(single), 5, "rotation")
+    ingress.task.cancel()
     for text in broken_rounds(world):
         world.record.write("in_round", text=text)
     return [
--- a/review/stand/platform_stand.py
+++ b/review/stand/platform_stand.py
@@ -634,7 +634,9 @@
         self.folder = tempfile.mkdtemp(prefix="goldcrestgate-review-")
         self.machines = machines
         self.zones = list(machines)
-        self.executors_per_zone = executors_per_zone
+        self.executors_per_zone = (
+            executors_per_zone if isinstance(executors_per_zone, dict)
+            else dict.fromkeys(machines, executors_per_zone))
         self.timeout_ms = timeout_ms
         self.stretch = stretch
         self.labels = labels or (lambda zone, index: ["a", f"r-{zone}-1"])
@@ -662,7 +664,7 @@
                     Instance(self, number, zone, f"{self.net}.{number}"))
         await self.store.put("keyed.op", "config", self.configuration(1))
         for zone in self.zones:
-            for index in range(self.executors_per_zone):
+            for index in range(self.executors_per_zone[zone]):
                 executor = Executor(self, f"i-{zone}-{index}", zone,
                                     self.labels(zone, index))
                 self.executors.append(executor)
@@ -808,6 +810,47 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Ingress:
+    """Selects the node for a new connection as PROTOCOL.md, Ingress, says."""
+
+    QUESTION_S = 1.0
+    ANSWER_S = 0.5
+
+    def __init__(self, world):
+        self.world = world
+        self.misses = {instance: 0 for instance in world.instances}
+        self.task = asyncio.create_task(self.ask())
+
+    async def ask(self):
+        while True:
+            for instance in self.world.instances:
+                asyncio.create_task(self.ask_one(instance))
+            await asyncio.sleep(self.QUESTION_S)
+
+    async def ask_one(self, instance):
+        answered = await instance.ready(self.ANSWER_S)
+        before = self.in_rotation(instance)
+        self.misses[instance] = 0 if answered else self.misses[instance] + 1
+        if self.in_rotation(instance) != before:
+            self.world.record.write("rotation", instance=instance.name,
+                                    within=not before)
+
+    def in_rotation(self, instance):
+        return self.misses[instance] < 2
+
+    def node(self, zone, client, tried=()):
+        """The node for a client of a zone; retries reach other nodes."""
+        own = [i for i in self.world.instances if i.zone == zone]
+        rotating = [i for i in own if self.in_rotation(i)]
+        if rotating and 2 * len(rotating) < len(own):
+            rotating = own
+        others = [i for i in self.world.instances
+                  if i.zone != zone and self.in_rotation(i)]
+        nodes = [i for i in rotating if i not in tried] or \
+            [i for i in others if i not in tried]
+        return nodes[client * 7 % len(nodes)]  # a hash of the client
+
+
 def job(steps, work_ms):
     """A job that need not be kept; each task works `work_ms`."""
     return {"task_spec": f"work={work_ms}", "best_effort": True,
