Repeat withdrawals until the owner has answered them

Cause: the reset ended the callers' connections and those to the owner at once. The gateway forgot a job with its withdrawal, which the peer network dropped for lack of a connection, and the owner took back its cancelling of all jobs of the instance when the same process reconnected.

Ruled out: a late detection of the disconnect (handled within 1 ms), a change of the owner (none).

Change: a gateway repeats a withdrawal every 100 ms until it is answered. A returned instance keeps only the jobs that it offers again. Offers and withdrawals are numbered, so that an offer that arrives after the withdrawal of its job starts nothing. The loss of one of two connections to a peer, with which messages are lost unnoticed, is reported, and the jobs are offered again. New log lines: job_withdrawn with the number of repeats, peer_messages_lost, offer_withdrawn.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -82,6 +82,8 @@
     void on_message(core::instance_key const& from,
                     core::peer_message& message);
     void on_connected(core::instance_key const& peer);
+    /// Repeats the offers and withdrawals to an owner, as messages may be lost.
+    void offer_again(core::instance_id owner);
     void connect(std::string_view peer_address);
     void send(core::instance_id peer, core::peer_message message);
     void send_heartbeats();
--- a/include/goldcrestgate/app/entry/entry_log.hpp
+++ b/include/goldcrestgate/app/entry/entry_log.hpp
@@ -35,6 +35,11 @@
 /// Safe to call from any thread.
 [[nodiscard]] log_line to_log_line(core::send_offer const& offer);
 
+/// @brief Returns the log line of a withdrawal from an owner.
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] log_line to_log_line(core::send_withdrawal const& withdrawal);
+
 /// @brief Returns the log line of an answer to a caller.
 /// @par Thread safety
 /// Safe to call from any thread.
--- a/include/goldcrestgate/core/detail/dispatcher_parts.hpp
+++ b/include/goldcrestgate/core/detail/dispatcher_parts.hpp
@@ -29,6 +29,7 @@
     void on(core::attempt_ended& ended, event_context& context);
     void on(peer_received& received, event_context& context);
     void on(peer_connected& connected, event_context& context);
+    void on(peer_messages_lost& lost, event_context& context);
     void on(peer_lost& lost, event_context& context);
     void on(instance_list& list, event_context& context);
     void on(settings_changed& changed, event_context& context);
--- a/include/goldcrestgate/core/events.hpp
+++ b/include/goldcrestgate/core/events.hpp
@@ -91,6 +91,13 @@
     bool refused = false;
 };
 
+/// @brief One of several connections to another entry instance was lost;
+/// messages in either direction may be lost with it.
+struct peer_messages_lost
+{
+    instance_key peer;
+};
+
 /// What an entry of the instance list describes.
 enum class listed_kind : std::uint8_t
 {
@@ -139,7 +146,7 @@
 /// An input of the core.
 using event = std::variant<mint_ids, submit_job, query_job, cancel_job,
                            caller_disconnected, attempt_ended, peer_received,
-                           peer_connected, peer_lost, instance_list,
-                           settings_changed, tick, begin_stop>;
+                           peer_connected, peer_lost, peer_messages_lost,
+                           instance_list, settings_changed, tick, begin_stop>;
 
 } // namespace goldcrestgate::core
--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -78,6 +78,13 @@
            task.index < job.groups[task.group].tasks.size();
 }
 
+/// @brief A withdrawal, after which offers with lower numbers are not valid.
+struct withdrawal_record
+{
+    std::uint64_t sequence = 0;
+    time_point expires_at{};
+};
+
 /// @brief Verdict of an ended job, repeated when the job is offered again.
 struct retained_verdict
 {
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -117,6 +117,9 @@
     std::map<executor_id, executor_record> executors;
     std::unordered_map<client_job_id, job_record> jobs;
     std::unordered_map<client_job_id, retained_verdict> retained_verdicts;
+    /// Last withdrawals by job and origin.
+    std::map<std::pair<client_job_id, instance_id>, withdrawal_record>
+        withdrawn;
     /// Tasks that ended `done` without a known job, and when they are
     /// forgotten.
     std::map<leased_task, time_point> done_tasks;
--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -3,11 +3,13 @@
 #include "goldcrestgate/core/leasing/domain_ownership.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -26,6 +28,8 @@
 {
     instance_id owner;
     job_withdrawal withdrawal;
+    /// Number of times that it was sent before.
+    std::uint32_t repeats = 0;
 };
 
 /// @brief Answer the caller of a job.
@@ -58,6 +62,10 @@
 /// successor adopts the runs that exist. Without a successor in time, its fate
 /// is unknown.
 ///
+/// A withdrawal is repeated until the owner has answered it: the owner goes on
+/// with the runs of a job of which it hears nothing, and the caller may
+/// resubmit the job in another failure domain.
+///
 /// @par Thread safety
 /// Not safe; the owner of the object serializes calls.
 class job_gateway
@@ -74,7 +82,7 @@
                 std::vector<gateway_action>& out);
 
     /// @brief Handles a caller that has disconnected.
-    void caller_disconnected(request_id request,
+    void caller_disconnected(request_id request, time_point now,
                              std::vector<gateway_action>& out);
 
     /// @brief Handles the verdict of an owner on a job.
@@ -82,14 +90,14 @@
                  std::span<owner_view const> owners, time_point now,
                  std::vector<gateway_action>& out);
 
-    /// @brief Offers jobs again whose owner has changed, and ends jobs whose
-    /// time limit or wait for an owner has expired.
+    /// @brief Offers jobs again whose owner has changed, ends jobs whose time
+    /// limit or wait for an owner has expired, and repeats withdrawals.
     void tick(std::span<owner_view const> owners, time_point now,
               std::vector<gateway_action>& out);
 
     /// @brief Handles a new connection to the process of an owner: offers and
     /// verdicts may have been lost with the earlier one, so the jobs are
-    /// offered again.
+    /// offered and withdrawn again.
     void owner_reconnected(instance_id owner, time_point now,
                            std::vector<gateway_action>& out);
 
@@ -124,6 +132,13 @@
         std::vector<domain_id> declined;
     };
 
+    struct open_withdrawal
+    {
+        time_point since{};
+        time_point sent_at{};
+        std::uint32_t repeats = 0;
+    };
+
     void offer_to_owner(open_job& open, std::span<owner_view const> owners,
                         time_point now, std::vector<gateway_action>& out);
     static void owner_refused(open_job& open, time_point now);
@@ -135,9 +150,19 @@
     void answer(client_job_id job, job_outcome outcome, duration retry_after,
                 std::string_view reason, time_point now,
                 std::vector<gateway_action>& out);
+    /// Offers a job to its owner.
+    void send_offer_to(open_job const& open, bool only_offered_here,
+                       time_point now, std::vector<gateway_action>& out);
+    void withdraw(instance_id owner, client_job_id job, time_point now,
+                  std::vector<gateway_action>& out);
+    void repeat_withdrawals(time_point now, std::vector<gateway_action>& out);
 
     domain_id own_domain_;
     std::unordered_map<client_job_id, open_job> jobs_;
+    /// Withdrawals that their owners have not answered.
+    std::map<std::pair<client_job_id, instance_id>, open_withdrawal>
+        withdrawals_;
+    std::uint64_t last_sequence_ = 0;
 };
 
 } // namespace goldcrestgate::core
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -24,13 +24,19 @@
     /// Whether no other owner, and no earlier term of the receiver, can have
     /// accepted the job.
     bool only_offered_here = false;
+    /// Number of the message among the offers and withdrawals of the sender's
+    /// process, which rises from 1; 0 if it is not numbered.
+    std::uint64_t sequence = 0;
 };
 
 /// @brief Reports that the caller of a job has disconnected and needs no
-/// answer.
+/// answer. It is repeated until it is answered with `withdrawn`, as it may be
+/// lost with a connection.
 struct job_withdrawal
 {
     client_job_id job;
+    /// As in @ref job_offer; offers with lower numbers are no longer valid.
+    std::uint64_t sequence = 0;
 };
 
 /// Outcome of a job at an owner.
@@ -44,7 +50,9 @@
     abandoned,
     /// The receiver of the offer owns no executors. It starts nothing for this
     /// offer; it may have accepted an earlier offer of the job.
-    not_owner
+    not_owner,
+    /// Answers a withdrawal. It is no verdict on an offer of the job.
+    withdrawn
 };
 
 /// @brief Returns the stable snake_case name of an outcome, for logs.
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -119,18 +119,20 @@
                std::vector<scheduler_action>& out);
 
     /// @brief Handles a job whose caller has disconnected; its waiting tasks do
-    /// not start any more.
-    void withdraw(instance_id origin, client_job_id job, time_point now,
-                  std::vector<scheduler_action>& out);
+    /// not start any more. The withdrawal is answered, also if the job is not
+    /// known.
+    void withdraw(instance_id origin, job_withdrawal const& withdrawal,
+                  time_point now, std::vector<scheduler_action>& out);
 
     /// @brief Handles the loss of an instance, whose callers may soon resubmit
     /// their jobs elsewhere.
     void origin_lost(instance_id origin, time_point now);
 
     /// @brief Handles the return of an instance that was only silent. Its jobs
-    /// that have not been cancelled yet go on.
+    /// that have not been cancelled yet go on if it offers them again shortly;
+    /// the callers of the others have left.
     /// @pre it is the process that the jobs came from
-    void origin_returned(instance_id origin);
+    void origin_returned(instance_id origin, time_point now);
 
     // --- answers and time ---
 
--- a/include/goldcrestgate/io/peer_network.hpp
+++ b/include/goldcrestgate/io/peer_network.hpp
@@ -42,8 +42,8 @@
 class peer_network
 {
 public:
-    /// Receives `peer_connected`, `peer_lost` and `peer_received`; never called
-    /// from within a member function.
+    /// Receives `peer_connected`, `peer_lost`, `peer_messages_lost` and
+    /// `peer_received`; never called from within a member function.
     using event_sink = std::function<void(core::event)>;
 
     /// Receives errors of frames and connections, which name the peer and the
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -2293,7 +2293,8 @@
     VT_TIME_LIMIT_US = 18,
     VT_ELAPSED_US = 20,
     VT_RESUMED = 22,
-    VT_ONLY_OFFERED_HERE = 24
+    VT_ONLY_OFFERED_HERE = 24,
+    VT_SEQUENCE = 26
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2328,6 +2329,9 @@
   bool only_offered_here() const {
     return GetField<uint8_t>(VT_ONLY_OFFERED_HERE, 0) != 0;
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
@@ -2345,6 +2349,7 @@
            VerifyField<int64_t>(verifier, VT_ELAPSED_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_RESUMED, 1) &&
            VerifyField<uint8_t>(verifier, VT_ONLY_OFFERED_HERE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -2386,6 +2391,9 @@
   void add_only_offered_here(bool only_offered_here) {
     fbb_.AddElement<uint8_t>(JobOffer::VT_ONLY_OFFERED_HERE, static_cast<uint8_t>(only_offered_here), 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(JobOffer::VT_SEQUENCE, sequence, 0);
+  }
   explicit JobOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2412,8 +2420,10 @@
     int64_t time_limit_us = 0,
     int64_t elapsed_us = 0,
     bool resumed = false,
-    bool only_offered_here = false) {
+    bool only_offered_here = false,
+    uint64_t sequence = 0) {
   JobOfferBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_elapsed_us(elapsed_us);
   builder_.add_time_limit_us(time_limit_us);
   builder_.add_objective_us(objective_us);
@@ -2445,7 +2455,8 @@
     int64_t time_limit_us = 0,
     int64_t elapsed_us = 0,
     bool resumed = false,
-    bool only_offered_here = false) {
+    bool only_offered_here = false,
+    uint64_t sequence = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto payload__ = payload ? _fbb.CreateString(payload) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>(*groups) : 0;
@@ -2461,21 +2472,27 @@
       time_limit_us,
       elapsed_us,
       resumed,
-      only_offered_here);
+      only_offered_here,
+      sequence);
 }
 
 struct JobWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JobWithdrawalBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_JOB = 4
+    VT_JOB = 4,
+    VT_SEQUENCE = 6
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -2487,6 +2504,9 @@
   void add_job(uint64_t job) {
     fbb_.AddElement<uint64_t>(JobWithdrawal::VT_JOB, job, 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(JobWithdrawal::VT_SEQUENCE, sequence, 0);
+  }
   explicit JobWithdrawalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2500,8 +2520,10 @@
 
 inline flatbuffers::Offset<JobWithdrawal> CreateJobWithdrawal(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t job = 0) {
+    uint64_t job = 0,
+    uint64_t sequence = 0) {
   JobWithdrawalBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_job(job);
   return builder_.Finish();
 }
--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -31,6 +31,7 @@
                                              : status_unavailable;
     case core::job_outcome::abandoned:
     case core::job_outcome::not_owner:
+    case core::job_outcome::withdrawn:
         return status_gateway_timeout;
     }
     return status_gateway_timeout;
@@ -193,7 +194,7 @@
         {
             pending_replies_.erase(handle);
             std::vector<core::gateway_action> out;
-            gateway_.caller_disconnected(handle, out);
+            gateway_.caller_disconnected(handle, loop_.now(), out);
             apply(out);
         });
     std::vector<core::gateway_action> out;
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -298,14 +298,14 @@
 
 void entry_instance::apply(core::send_withdrawal const& action)
 {
+    log_.write(to_log_line(action));
     if (action.owner != self_.instance)
     {
         send(action.owner, action.withdrawal);
         return;
     }
     std::vector<core::scheduler_action> out;
-    scheduler_.withdraw(self_.instance, action.withdrawal.job, loop_.now(),
-                        out);
+    scheduler_.withdraw(self_.instance, action.withdrawal, loop_.now(), out);
     apply(out);
 }
 
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -115,6 +115,15 @@
     return line;
 }
 
+log_line to_log_line(core::send_withdrawal const& withdrawal)
+{
+    log_line line{log_level::info, "job_withdrawn"};
+    line.text("job", adapter::format_job_id(withdrawal.withdrawal.job))
+        .text("owner", format_instance(withdrawal.owner))
+        .number("repeats", withdrawal.repeats);
+    return line;
+}
+
 log_line to_log_line(core::send_offer const& offer)
 {
     auto const& job = offer.offer.job;
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -272,6 +272,13 @@
                 ownership_.lost(lost.peer, lost.refused, loop_.now());
                 scheduler_.origin_lost(lost.peer, loop_.now());
             },
+            [this](core::peer_messages_lost const& lost)
+            {
+                log_.write(
+                    log_line{log_level::warning, "peer_messages_lost"}.text(
+                        "peer", format_instance(lost.peer.instance)));
+                offer_again(lost.peer.instance);
+            },
             [](auto const&)
             {
                 // The peer network delivers no other events.
@@ -286,10 +293,8 @@
     connected_peers_[peer.instance] = peer;
     if (same_process)
     {
-        scheduler_.origin_returned(peer.instance);
-        std::vector<core::gateway_action> out;
-        gateway_.owner_reconnected(peer.instance, loop_.now(), out);
-        apply(out);
+        scheduler_.origin_returned(peer.instance, loop_.now());
+        offer_again(peer.instance);
     }
     else
     {
@@ -304,6 +309,13 @@
     send_heartbeats();
 }
 
+void entry_instance::offer_again(core::instance_id owner)
+{
+    std::vector<core::gateway_action> out;
+    gateway_.owner_reconnected(owner, loop_.now(), out);
+    apply(out);
+}
+
 // An instance whose address is known from the store reads the other addresses
 // there itself. One that cannot reach the store has not published its own.
 void entry_instance::send_addresses(core::instance_id peer)
@@ -354,7 +366,7 @@
             [&](core::job_withdrawal const& withdrawal)
             {
                 std::vector<core::scheduler_action> out;
-                scheduler_.withdraw(from.instance, withdrawal.job, now, out);
+                scheduler_.withdraw(from.instance, withdrawal, now, out);
                 apply(out);
             },
             [&](core::job_verdict const& verdict)
--- a/src/core/detail/dispatcher_parts.cpp
+++ b/src/core/detail/dispatcher_parts.cpp
@@ -99,6 +99,12 @@
     peers.handle_lost(lost, context);
 }
 
+// Only the entry daemon's jobs depend on it.
+void dispatcher_parts::on(peer_messages_lost& /*lost*/,
+                          event_context& /*context*/)
+{
+}
+
 void dispatcher_parts::on(instance_list& list, event_context& context)
 {
     state.has_instance_list = true;
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -20,6 +20,13 @@
 /// this; after a longer wait it would hardly finish in time.
 constexpr int objective_wait_divisor = 4;
 
+/// Time after which a withdrawal without an answer is sent again.
+constexpr duration withdrawal_interval = std::chrono::milliseconds{100};
+
+/// Time for which a withdrawal is repeated. An owner that hears nothing of this
+/// instance for so long has cancelled the job.
+constexpr duration withdrawal_lifetime = std::chrono::seconds{3};
+
 /// Retry delay of a caller when no owner is known.
 constexpr duration no_owner_retry = std::chrono::seconds{1};
 
@@ -108,11 +115,49 @@
     }
     open.owner = chosen;
     open.without_owner_since.reset();
-    out.emplace_back(send_offer{chosen->instance,
-                                {open.job, now - open.arrived, open.resumed}});
+    send_offer_to(open, false, now, out);
+}
+
+void job_gateway::send_offer_to(open_job const& open, bool only_offered_here,
+                                time_point now,
+                                std::vector<gateway_action>& out)
+{
+    auto const owner = open.owner->instance;
+    withdrawals_.erase({open.job.id, owner});
+    out.emplace_back(send_offer{owner,
+                                {open.job, now - open.arrived, open.resumed,
+                                 only_offered_here, ++last_sequence_}});
+}
+
+void job_gateway::withdraw(instance_id owner, client_job_id job, time_point now,
+                           std::vector<gateway_action>& out)
+{
+    withdrawals_[{job, owner}] = {now, now};
+    out.emplace_back(send_withdrawal{owner, {job, ++last_sequence_}});
 }
 
-void job_gateway::caller_disconnected(request_id request,
+void job_gateway::repeat_withdrawals(time_point now,
+                                     std::vector<gateway_action>& out)
+{
+    std::erase_if(withdrawals_,
+                  [now](auto const& entry)
+                  {
+                      return now - entry.second.since > withdrawal_lifetime;
+                  });
+    for (auto& [key, open] : withdrawals_)
+    {
+        if (now - open.sent_at < withdrawal_interval)
+        {
+            continue;
+        }
+        auto const& [job, owner] = key;
+        open.sent_at = now;
+        out.emplace_back(
+            send_withdrawal{owner, {job, ++last_sequence_}, ++open.repeats});
+    }
+}
+
+void job_gateway::caller_disconnected(request_id request, time_point now,
                                       std::vector<gateway_action>& out)
 {
     auto const found = std::ranges::find_if(
@@ -134,7 +179,7 @@
     }
     if (open.owner)
     {
-        out.emplace_back(send_withdrawal{open.owner->instance, {found->first}});
+        withdraw(open.owner->instance, found->first, now, out);
     }
     jobs_.erase(found);
 }
@@ -143,6 +188,11 @@
                           std::span<owner_view const> owners, time_point now,
                           std::vector<gateway_action>& out)
 {
+    if (received.outcome == job_outcome::withdrawn)
+    {
+        withdrawals_.erase({received.job, from});
+        return;
+    }
     auto const found = jobs_.find(received.job);
     if (found == jobs_.end() || !found->second.owner ||
         found->second.owner->instance != from)
@@ -229,15 +279,14 @@
     }
     if (current->instance != open.owner->instance)
     {
-        out.emplace_back(send_withdrawal{open.owner->instance, {open.job.id}});
+        withdraw(open.owner->instance, open.job.id, now, out);
     }
     open.resumed = true;
     open.moved = open.moved || !same_term;
     open.without_owner_since.reset();
     open.owner = *current;
     open.refused = false;
-    out.emplace_back(send_offer{
-        current->instance, {open.job, now - open.arrived, true, !open.moved}});
+    send_offer_to(open, !open.moved, now, out);
 }
 
 void job_gateway::tick(std::span<owner_view const> owners, time_point now,
@@ -250,6 +299,7 @@
         std::string_view reason;
     };
 
+    repeat_withdrawals(now, out);
     std::vector<ended_job> ended;
     for (auto& [id, open] : jobs_)
     {
@@ -279,7 +329,7 @@
         auto const& open = jobs_.at(id);
         if (open.owner)
         {
-            out.emplace_back(send_withdrawal{open.owner->instance, {id}});
+            withdraw(open.owner->instance, id, now, out);
         }
         answer(id, outcome, no_owner_retry, reason, now, out);
     }
@@ -293,10 +343,17 @@
         if (open.owner && open.owner->instance == owner)
         {
             open.resumed = true;
-            out.emplace_back(send_offer{
-                owner, {open.job, now - open.arrived, true, !open.moved}});
+            send_offer_to(open, !open.moved, now, out);
+        }
+    }
+    for (auto& [key, open] : withdrawals_)
+    {
+        if (key.second == owner)
+        {
+            open.sent_at = {};
         }
     }
+    repeat_withdrawals(now, out);
 }
 
 void job_gateway::abandon_all(time_point now, std::vector<gateway_action>& out)
@@ -306,7 +363,7 @@
         auto const& [id, open] = *jobs_.begin();
         if (open.owner)
         {
-            out.emplace_back(send_withdrawal{open.owner->instance, {id}});
+            withdraw(open.owner->instance, id, now, out);
         }
         answer(client_job_id{id}, job_outcome::abandoned, {},
                "instance_stopped", now, out);
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -21,6 +21,18 @@
 /// finds the runs on it.
 constexpr duration roster_delay = std::chrono::milliseconds{100};
 
+/// Time for which a withdrawal is remembered; an offer that was sent before it
+/// on another connection arrives within this time.
+constexpr duration withdrawal_retention = std::chrono::seconds{1};
+
+/// Time for which the jobs of a lost instance go on until it offers them again.
+/// The loss is detected late, so only part of the delay of resubmissions is
+/// left.
+duration lost_origin_wait(scheduler_limits const& limits)
+{
+    return limits.resubmission_delay / 4;
+}
+
 } // namespace
 
 job_scheduler::job_scheduler(scheduler_limits limits)
@@ -71,6 +83,7 @@
     state_.fenced = false;
     state_.jobs.clear();
     state_.retained_verdicts.clear();
+    state_.withdrawn.clear();
     state_.done_tasks.clear();
     for (auto& [id, executor] : state_.executors)
     {
@@ -213,15 +226,20 @@
     state_.place_waiting(context);
 }
 
-void job_scheduler::withdraw(instance_id origin, client_job_id job,
-                             time_point now, std::vector<scheduler_action>& out)
+void job_scheduler::withdraw(instance_id origin,
+                             job_withdrawal const& withdrawal, time_point now,
+                             std::vector<scheduler_action>& out)
 {
+    auto const job = withdrawal.job;
+    scheduler_context context{now, out};
+    state_.withdrawn[{job, origin}] = {withdrawal.sequence,
+                                       now + withdrawal_retention};
+    out.emplace_back(report_verdict{origin, {job, job_outcome::withdrawn, {}}});
     auto const found = state_.jobs.find(job);
     if (found == state_.jobs.end() || found->second.origin != origin)
     {
         return;
     }
-    scheduler_context context{now, out};
     auto& record = found->second;
     if (!record.started())
     {
@@ -231,15 +249,15 @@
     record.origin_lost = false;
     // The runs may still serve a resubmission by the caller, so they continue
     // until shortly before the resubmission may arrive elsewhere.
-    record.cancel_at =
+    auto const cancel_at =
         now + state_.limits.resubmission_delay - 4 * state_.limits.stop_time;
+    record.cancel_at =
+        std::min(record.cancel_at.value_or(cancel_at), cancel_at);
 }
 
 void job_scheduler::origin_lost(instance_id origin, time_point now)
 {
-    // The loss is detected late, so less of the delay is left than after a
-    // withdrawal.
-    auto const until = now + state_.limits.resubmission_delay / 4;
+    auto const until = now + lost_origin_wait(state_.limits);
     for (auto& [id, job] : state_.jobs)
     {
         if (job.origin == origin && !job.cancel_at)
@@ -250,13 +268,14 @@
     }
 }
 
-void job_scheduler::origin_returned(instance_id origin)
+void job_scheduler::origin_returned(instance_id origin, time_point now)
 {
+    auto const until = now + lost_origin_wait(state_.limits);
     for (auto& [id, job] : state_.jobs)
     {
-        if (job.origin == origin && std::exchange(job.origin_lost, false))
+        if (job.origin == origin && job.origin_lost)
         {
-            job.cancel_at.reset();
+            job.cancel_at = until;
         }
     }
 }
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -21,6 +21,8 @@
         return "abandoned";
     case job_outcome::not_owner:
         return "not_owner";
+    case job_outcome::withdrawn:
+        return "withdrawn";
     }
     return "abandoned";
 }
@@ -107,6 +109,14 @@
             report_verdict{origin, {id, job_outcome::not_owner, {}}});
         return;
     }
+    if (auto const withdrawal = withdrawn.find({id, origin});
+        withdrawal != withdrawn.end() &&
+        offered.sequence < withdrawal->second.sequence)
+    {
+        scheduler_log_event log_event{.event = "offer_withdrawn", .job = id};
+        context.out.emplace_back(log_event);
+        return;
+    }
     bool const may_run_elsewhere =
         offered.resumed && !offered.only_offered_here;
     if (auto const known = jobs.find(id); known != jobs.end())
@@ -365,6 +375,11 @@
                   {
                       return entry.second.expires_at <= context.now;
                   });
+    std::erase_if(withdrawn,
+                  [&context](auto const& entry)
+                  {
+                      return entry.second.expires_at <= context.now;
+                  });
     std::erase_if(done_tasks,
                   [&context](auto const& entry)
                   {
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -89,7 +89,8 @@
                         std::optional<core::instance_id> target);
     void accept_hello(peer_connection& connection, core::hello const& message);
     void destroy_later(peer_connection& connection);
-    void detach_connection(peer_state& peer, peer_connection& connection);
+    /// Returns whether the connection was established.
+    bool detach_connection(peer_state& peer, peer_connection& connection);
     void post_event(core::event event);
 
     event_loop& loop_;
@@ -317,22 +318,26 @@
     if (id)
     {
         auto& peer = peer_of(*id);
-        detach_connection(peer, connection);
+        bool const was_established = detach_connection(peer, connection);
         if (peer.established.empty())
         {
             post_event(core::peer_lost{*id, refused});
         }
+        else if (was_established)
+        {
+            post_event(core::peer_messages_lost{*peer.key});
+        }
     }
     destroy_later(connection);
 }
 
-void peer_network_state::detach_connection(peer_state& peer,
+bool peer_network_state::detach_connection(peer_state& peer,
                                            peer_connection& connection)
 {
-    std::erase(peer.established, &connection);
+    bool const was_established = std::erase(peer.established, &connection) > 0;
     if (peer.outgoing != &connection)
     {
-        return;
+        return was_established;
     }
     peer.outgoing = nullptr;
     if (peer.address)
@@ -341,6 +346,7 @@
         peer.reconnect_delay =
             std::min(peer.reconnect_delay * 2, options_.max_reconnect_delay);
     }
+    return was_established;
 }
 
 // Destruction is posted, because the connection may be executing one of its own
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -276,7 +276,7 @@
 
 encoded_message encode(builder& out, core::job_offer const& message)
 {
-    auto const& [job, elapsed, resumed, only_offered_here] = message;
+    auto const& [job, elapsed, resumed, only_offered_here, sequence] = message;
     auto const service = out.CreateString(job.service);
     auto const payload = out.CreateString(job.payload);
     std::vector<fb::Offset<detail::TaskGroup>> groups;
@@ -291,15 +291,15 @@
                                    group_list, job.max_attempts, job.priority,
                                    job.objective.count(),
                                    job.time_limit.count(), elapsed.count(),
-                                   resumed, only_offered_here)
+                                   resumed, only_offered_here, sequence)
                 .Union()};
 }
 
 encoded_message encode(builder& out, core::job_withdrawal const& message)
 {
-    auto const& [job] = message;
+    auto const& [job, sequence] = message;
     return {detail::Message::JobWithdrawal,
-            detail::CreateJobWithdrawal(out, job.value()).Union()};
+            detail::CreateJobWithdrawal(out, job.value(), sequence).Union()};
 }
 
 encoded_message encode(builder& out, core::job_verdict const& message)
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -105,18 +105,20 @@
     message.elapsed = core::duration{source.elapsed_us()};
     message.resumed = source.resumed();
     message.only_offered_here = source.only_offered_here();
+    message.sequence = source.sequence();
     return message;
 }
 
 std::optional<core::peer_message> decode(JobWithdrawal const& source)
 {
-    return core::job_withdrawal{core::client_job_id{source.job()}};
+    return core::job_withdrawal{core::client_job_id{source.job()},
+                                source.sequence()};
 }
 
 std::optional<core::peer_message> decode(JobVerdict const& source)
 {
     constexpr auto last =
-        static_cast<std::uint8_t>(core::job_outcome::not_owner);
+        static_cast<std::uint8_t>(core::job_outcome::withdrawn);
     if (source.outcome() > last || source.retry_after_us() < 0)
     {
         return std::nullopt;
--- /dev/null
+++ b/tests/unit/absent_callers.cpp
@@ -0,0 +1,88 @@
+#include "support/fleet_owner.hpp"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace
+{
+
+using namespace goldcrestgate;
+using namespace goldcrestgate::core;
+using std::chrono::milliseconds;
+using tests::executor_fleet;
+using tests::fleet_owner;
+using tests::make_leased_job;
+
+// Guards against runs of jobs whose callers have left: 1.3 s later these may
+// submit the jobs in another failure domain.
+class absent_callers_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(absent_callers_test);
+    CPPUNIT_TEST(returned_instance_keeps_only_the_jobs_that_it_offers_again);
+    CPPUNIT_TEST(offer_before_a_withdrawal_starts_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against runs beside those of a resubmission: an instance whose
+    // connections were reset returned, and the owner took back the cancelling
+    // also of the jobs whose callers had left meanwhile.
+    void returned_instance_keeps_only_the_jobs_that_it_offers_again()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        auto const kept = owner.submit(7, 1, milliseconds{900});
+        owner.submit(8, 1, milliseconds{2000});
+        fleet.run_for(milliseconds{100});
+        owner.scheduler.origin_lost(instance_id{1}, fleet.now());
+        owner.scheduler.origin_returned(instance_id{1}, fleet.now());
+        owner.offer(kept, true);
+        fleet.run_for(milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{8}));
+        fleet.run_for(milliseconds{500});
+        expect_completed(owner, client_job_id{7});
+    }
+
+    // Guards against runs without a caller: an offer that was sent before the
+    // withdrawal of its job arrived after it on another connection.
+    void offer_before_a_withdrawal_starts_nothing()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        auto const job = make_leased_job(7, 1, milliseconds{300});
+        fleet.set_work(job.id, milliseconds{300});
+        std::vector<scheduler_action> out;
+        owner.scheduler.withdraw(instance_id{1}, {job.id, 5}, fleet.now(), out);
+        auto const* const answer = std::get_if<report_verdict>(&out.at(0));
+        CPPUNIT_ASSERT(answer != nullptr &&
+                       answer->verdict.outcome == job_outcome::withdrawn);
+        out.clear();
+        owner.scheduler.offer(instance_id{1}, {job, {}, false, false, 4},
+                              fleet.now(), out);
+        owner.apply(out);
+        fleet.run_for(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.starts(job.id));
+        out.clear();
+        owner.scheduler.offer(instance_id{1}, {job, {}, false, false, 6},
+                              fleet.now(), out);
+        owner.apply(out);
+        fleet.run_for(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(job.id));
+    }
+
+private:
+    static void expect_completed(fleet_owner const& owner, client_job_id job)
+    {
+        auto const found = owner.verdicts.find(job);
+        CPPUNIT_ASSERT(found != owner.verdicts.end());
+        CPPUNIT_ASSERT(found->second.outcome == job_outcome::completed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(absent_callers_test, "absent_callers");
+
+} // namespace
--- a/tests/unit/peer_network.cpp
+++ b/tests/unit/peer_network.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(messages_arrive_once_and_in_order);
     CPPUNIT_TEST(refused_connection_is_distinguished_from_a_lost_one);
     CPPUNIT_TEST(new_incarnation_replaces_the_older_one);
+    CPPUNIT_TEST(loss_of_one_of_two_connections_is_reported);
     CPPUNIT_TEST(malformed_frame_ends_only_its_connection);
     CPPUNIT_TEST(another_instance_at_the_address_is_rejected);
     CPPUNIT_TEST(largest_job_body_is_forwarded);
@@ -205,6 +206,31 @@
             });
     }
 
+    // Guards against withdrawals, offers and verdicts that are lost unnoticed:
+    // one of the two connections to a peer was reset, and the other remained.
+    void loss_of_one_of_two_connections_is_reported()
+    {
+        node a{loop_, 1, 10, free_address()};
+        node b{loop_, 2, 20, free_address()};
+        connect_both(a, b);
+        auto second = std::make_unique<node>(loop_, 2, 20, free_address());
+        second->connect(a);
+        run_until(
+            [&]
+            {
+                return !second->events_of<core::peer_connected>().empty();
+            });
+        second.reset();
+        run_until(
+            [&]
+            {
+                return !a.events_of<core::peer_messages_lost>().empty();
+            });
+        auto const lost = a.events_of<core::peer_messages_lost>();
+        CPPUNIT_ASSERT(lost.front().peer == b.key);
+        CPPUNIT_ASSERT(a.events_of<core::peer_lost>().empty());
+    }
+
     // Guards against a malformed frame from one sender that disrupts the
     // connections to other peers.
     void malformed_frame_ends_only_its_connection()
