Start nothing from input that is older than a pause

Cause, four paths from input that is older than a pause to a start: a request whose caller had closed the connection before it was read; socket events, which are handled before the check for a pause; offers of the timer before the hangups were handled; offers that waited in the connection to a paused owner until its next ownership. A request to an executor that waited for its connection was also sent after its timeout.

Ruled out: two offers by one gateway (each start came from a request of its own), a rejection by a failure domain that had started the job (none in the record).

Change: a request is refused with 503 (caller_left) if its caller has left; the check for a stall precedes every function that the loop calls; hangups are handled before jobs are offered; an offer names the owner's term and is refused in another one; a request is not sent after its timeout.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -103,6 +103,8 @@
     bool suspended = false;
     bool fenced = false;
     fencing_token token;
+    /// Term of the ownership.
+    std::uint64_t term = 0;
     /// Last order that was sent with an earlier token. An executor that refuses
     /// it has seen a renewed token, not that of another owner.
     order_id last_order_of_earlier_token;
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -27,6 +27,10 @@
     /// Number of the message among the offers and withdrawals of the sender's
     /// process, which rises from 1; 0 if it is not numbered.
     std::uint64_t sequence = 0;
+    /// Term of the receiver that the sender knows; 0 if it names none. The
+    /// receiver refuses an offer of an earlier term: it may have waited in the
+    /// connection while the receiver was paused, and its caller may have left.
+    std::uint64_t term = 0;
 };
 
 /// @brief Reports that the caller of a job has disconnected and needs no
--- a/include/goldcrestgate/io/detail/hangup_monitor.hpp
+++ b/include/goldcrestgate/io/detail/hangup_monitor.hpp
@@ -43,9 +43,12 @@
     /// @pre @a descriptor is still open
     void unwatch(int descriptor) const;
 
+    /// @brief Calls the listeners of all hangups so far. They are also called
+    /// by the loop, but after the socket events that it handles first.
+    void notify_listeners() const;
+
 private:
     static void on_readable(st_h2o_socket_t* socket, char const* failure);
-    void notify_listeners() const;
 
     int epoll_;
     st_h2o_socket_t* socket_;
--- a/include/goldcrestgate/io/detail/http_connection.hpp
+++ b/include/goldcrestgate/io/detail/http_connection.hpp
@@ -63,6 +63,8 @@
 
     void on_hangup() override;
     [[nodiscard]] bool has_request() const;
+    /// Whether the remote side has closed the connection or its sending side.
+    [[nodiscard]] bool hung_up() const;
     void begin_request(std::shared_ptr<pending_reply> const& pending);
     void end_request();
 
--- a/include/goldcrestgate/io/event_loop.hpp
+++ b/include/goldcrestgate/io/event_loop.hpp
@@ -37,6 +37,13 @@
     /// for which the machine was suspended.
     [[nodiscard]] core::time_point now() const;
 
+    /// @brief Returns a time before which the input that is handled now had not
+    /// arrived, also if the process was paused meanwhile.
+    [[nodiscard]] core::time_point input_since() const
+    {
+        return previous_turn_;
+    }
+
     /// @brief Runs until @ref stop is called.
     void run();
 
@@ -63,13 +70,15 @@
     /// Receives the time by which the loop is late.
     using stall_sink = std::function<void(core::duration)>;
 
-    /// @brief Sets a function that is called before all other work if a timer
-    /// is overdue by more than @a limit, as after a pause of the process.
+    /// @brief Sets a function that is called before any other function, also
+    /// those that handle socket events, if a timer is overdue by more than
+    /// @a limit, as after a pause of the process.
     void on_stall(core::duration limit, stall_sink report);
 
-    /// @brief Calls a function and reports the exception that it throws.
+    /// @brief Calls a function and reports the exception that it throws. A
+    /// stall is reported before.
     /// @return whether it returned without an exception
-    bool run_guarded(std::function<void()> const& work) const;
+    bool run_guarded(std::function<void()> const& work);
 
     /// @brief Returns h2o's handle of the loop.
     [[nodiscard]] st_h2o_evloop_t* native() const;
@@ -80,15 +89,21 @@
     [[nodiscard]] core::duration wait_limit(core::duration max_wait) const;
     [[nodiscard]] bool has_due() const;
     void run_due();
-    void check_stall() const;
+    void check_stall();
 
     st_h2o_evloop_t* loop_;
     bool stopped_ = false;
+    /// Starts of the present and the previous iteration. Work that socket
+    /// events post runs in the iteration after theirs.
+    core::time_point turn_{};
+    core::time_point previous_turn_{};
     std::set<std::pair<core::time_point, timer*>> timers_;
     std::vector<std::function<void()>> posted_;
     fault_sink report_fault_;
     core::duration stall_limit_ = core::duration::max();
     stall_sink report_stall_;
+    /// Time of the last report; the timer stays overdue until it is run.
+    core::time_point stall_reported_at_{};
     std::unique_ptr<detail::due_work_trigger> trigger_;
 };
 
--- a/include/goldcrestgate/io/http_server.hpp
+++ b/include/goldcrestgate/io/http_server.hpp
@@ -35,8 +35,13 @@
     /// connection is closed.
     void send(http_response response) const;
 
+    /// @brief Returns whether the caller has closed its side of the connection,
+    /// also if it did so before the request was read.
+    [[nodiscard]] bool caller_disconnected() const;
+
     /// @brief Sets a function that is called at most once, when the caller
-    /// closes its side of the connection before the response is sent.
+    /// closes its side of the connection before the response is sent. It is not
+    /// called if @ref caller_disconnected already returns true.
     ///
     /// The caller may have closed only its sending side, so a response may
     /// still reach it.
@@ -93,6 +98,11 @@
     /// listen.
     [[nodiscard]] std::uint16_t port() const;
 
+    /// @brief Calls the functions set with @ref
+    /// http_reply::on_caller_disconnect for all callers that have disconnected
+    /// so far.
+    void notify_disconnects();
+
     /// @brief Stops listening and closes idle connections at once, all others
     /// after their response.
     void close_gracefully();
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -2294,7 +2294,8 @@
     VT_ELAPSED_US = 20,
     VT_RESUMED = 22,
     VT_ONLY_OFFERED_HERE = 24,
-    VT_SEQUENCE = 26
+    VT_SEQUENCE = 26,
+    VT_TERM = 28
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2332,6 +2333,9 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
@@ -2350,6 +2354,7 @@
            VerifyField<uint8_t>(verifier, VT_RESUMED, 1) &&
            VerifyField<uint8_t>(verifier, VT_ONLY_OFFERED_HERE, 1) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            verifier.EndTable();
   }
 };
@@ -2394,6 +2399,9 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(JobOffer::VT_SEQUENCE, sequence, 0);
   }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(JobOffer::VT_TERM, term, 0);
+  }
   explicit JobOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2421,8 +2429,10 @@
     int64_t elapsed_us = 0,
     bool resumed = false,
     bool only_offered_here = false,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    uint64_t term = 0) {
   JobOfferBuilder builder_(_fbb);
+  builder_.add_term(term);
   builder_.add_sequence(sequence);
   builder_.add_elapsed_us(elapsed_us);
   builder_.add_time_limit_us(time_limit_us);
@@ -2456,7 +2466,8 @@
     int64_t elapsed_us = 0,
     bool resumed = false,
     bool only_offered_here = false,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    uint64_t term = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto payload__ = payload ? _fbb.CreateString(payload) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>(*groups) : 0;
@@ -2473,7 +2484,8 @@
       elapsed_us,
       resumed,
       only_offered_here,
-      sequence);
+      sequence,
+      term);
 }
 
 struct JobWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -144,6 +144,13 @@
 void entry_instance::submit(io::http_request const& request,
                             io::http_reply const& reply)
 {
+    // The request may have waited in the socket while this process was paused;
+    // its caller may have submitted it elsewhere since it left.
+    if (reply.caller_disconnected())
+    {
+        refuse_request(reply, status_unavailable, "caller_left", request.path);
+        return;
+    }
     if (routes_.version == 0)
     {
         refuse_request(reply, status_unavailable, "no_configuration",
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -363,6 +363,8 @@
 void entry_instance::tick()
 {
     auto const now = loop_.now();
+    // No job is offered whose caller has left.
+    caller_server_.notify_disconnects();
     for (auto const unresponsive : ownership_.take_unresponsive(now))
     {
         log_.write(log_line{log_level::warning, "peer_silent"}.text(
--- a/src/app/entry/entry_ownership.cpp
+++ b/src/app/entry/entry_ownership.cpp
@@ -67,7 +67,8 @@
 }
 
 // Runs before any other event after a pause, so that no order is sent on an
-// ownership that may have passed to a successor meanwhile.
+// ownership that may have passed to a successor meanwhile, nor for a job whose
+// caller has left.
 void entry_instance::handle_pause(core::duration lateness)
 {
     log_.write(
@@ -79,6 +80,7 @@
             .flag("owner", scheduler_.owns()));
     ownership_.paused(loop_.now());
     decide_ownership();
+    caller_server_.notify_disconnects();
 }
 
 } // namespace goldcrestgate::app
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -311,6 +311,7 @@
 
 void entry_instance::offer_again(core::instance_id owner)
 {
+    caller_server_.notify_disconnects();
     std::vector<core::gateway_action> out;
     gateway_.owner_reconnected(owner, loop_.now(), out);
     apply(out);
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -124,9 +124,10 @@
 {
     auto const owner = open.owner->instance;
     withdrawals_.erase({open.job.id, owner});
-    out.emplace_back(send_offer{owner,
-                                {open.job, now - open.arrived, open.resumed,
-                                 only_offered_here, ++last_sequence_}});
+    out.emplace_back(
+        send_offer{owner,
+                   {open.job, now - open.arrived, open.resumed,
+                    only_offered_here, ++last_sequence_, open.owner->term}});
 }
 
 void job_gateway::withdraw(instance_id owner, client_job_id job, time_point now,
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
+#include "goldcrestgate/core/leasing/owner_token.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -50,6 +52,7 @@
     state_.owner = true;
     state_.fenced = false;
     state_.token = token;
+    state_.term = token_term(token);
     state_.last_order_of_earlier_token = order_id{state_.last_order};
     state_.token_renewals = 0;
     state_.owner_since = now;
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -103,7 +103,8 @@
                             scheduler_context& context)
 {
     auto const id = offered.job.id;
-    if (!owner)
+    bool const is_outdated = offered.term != 0 && offered.term != term;
+    if (!owner || is_outdated)
     {
         context.out.emplace_back(
             report_verdict{origin, {id, job_outcome::not_owner, {}}});
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <ctime>
+#include <utility>
 
 namespace goldcrestgate::io
 {
@@ -76,25 +77,31 @@
     report_stall_ = std::move(report);
 }
 
-void event_loop::check_stall() const
+void event_loop::check_stall()
 {
     if (!report_stall_ || timers_.empty())
     {
         return;
     }
-    auto const lateness = now() - timers_.begin()->first;
-    if (lateness > stall_limit_)
+    auto const due = timers_.begin()->first;
+    auto const current_time = now();
+    if (current_time - std::max(due, stall_reported_at_) <= stall_limit_)
     {
-        run_guarded(
-            [this, lateness]
-            {
-                report_stall_(lateness);
-            });
+        return;
     }
+    stall_reported_at_ = current_time;
+    run_guarded(
+        [this, lateness = current_time - due]
+        {
+            report_stall_(lateness);
+        });
 }
 
-bool event_loop::run_guarded(std::function<void()> const& work) const
+// Socket events are handled before due timers, so each function may be the
+// first one after a pause.
+bool event_loop::run_guarded(std::function<void()> const& work)
 {
+    check_stall();
     try
     {
         work();
@@ -137,6 +144,7 @@
 
 void event_loop::run_once(core::duration max_wait)
 {
+    previous_turn_ = std::exchange(turn_, now());
     if (has_due() && h2o_timeout_is_linked(&trigger_->entry) == 0)
     {
         h2o_timeout_link(loop_, &trigger_->timeout, &trigger_->entry);
--- a/src/io/hangup_monitor.cpp
+++ b/src/io/hangup_monitor.cpp
@@ -4,21 +4,9 @@
 
 #include <sys/epoll.h>
 
-#include <array>
-#include <cstddef>
-
 namespace goldcrestgate::io::detail
 {
 
-namespace
-{
-
-/// Events handled in one call; further ones are handled in the next iteration
-/// of the loop.
-constexpr std::size_t max_events_per_call = 64;
-
-} // namespace
-
 hangup_monitor::hangup_monitor(event_loop& loop)
     : epoll_(epoll_create1(EPOLL_CLOEXEC))
     , socket_(h2o_evloop_socket_create(loop.native(), epoll_,
@@ -55,13 +43,9 @@
 {
     // Events are fetched one at a time, because a listener may stop watching
     // another socket, whose event must then not be delivered.
-    for (std::size_t i = 0; i < max_events_per_call; ++i)
+    epoll_event event{};
+    while (epoll_wait(epoll_, &event, 1, 0) == 1)
     {
-        epoll_event event{};
-        if (epoll_wait(epoll_, &event, 1, 0) != 1)
-        {
-            return;
-        }
         static_cast<hangup_listener*>(event.data.ptr)->on_hangup();
     }
 }
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -223,6 +223,17 @@
             self->make_error(core::error_code::connect_failed, call, failure));
         return nullptr;
     }
+    if (self->loop_.now() >= call.deadline)
+    {
+        // The process was paused meanwhile; returning no callback closes the
+        // connection.
+        call.client = nullptr;
+        self->finish(call, call_outcome::not_sent,
+                     self->make_error(core::error_code::io_timeout, call,
+                                      "the timeout passed before the request "
+                                      "was sent"));
+        return nullptr;
+    }
     call.connected = true;
     call.bytes_written_before = client->sock->bytes_written;
     call.timeout_timer.start_at(call.deadline);
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -97,6 +97,12 @@
     return !pending_.expired();
 }
 
+bool http_connection::hung_up() const
+{
+    pollfd state{descriptor_, POLLRDHUP, 0};
+    return poll(&state, 1, 0) == 1;
+}
+
 void http_connection::begin_request(
     std::shared_ptr<pending_reply> const& pending)
 {
@@ -120,14 +126,14 @@
 
 void http_connection::close_descriptor()
 {
-    pollfd state{descriptor_, POLLRDHUP, 0};
-    bool const hung_up = poll(&state, 1, 0) == 1;
-    bool const incomplete = received_bytes(descriptor_, hung_up) > bytes_read_;
+    bool const closed_by_caller = hung_up();
+    bool const incomplete =
+        received_bytes(descriptor_, closed_by_caller) > bytes_read_;
     if (incomplete)
     {
-        answer_incomplete_request(hung_up);
+        answer_incomplete_request(closed_by_caller);
     }
-    if (incomplete && !hung_up)
+    if (incomplete && !closed_by_caller)
     {
         group_.lingering.close(descriptor_);
         return;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -370,6 +370,12 @@
     detail::send_response(*request, response, pending_->body);
 }
 
+bool http_reply::caller_disconnected() const
+{
+    return pending_->request == nullptr ||
+           detail::connection_of(*pending_->request).hung_up();
+}
+
 void http_reply::on_caller_disconnect(std::function<void()> callback) const
 {
     if (pending_->request != nullptr)
@@ -417,6 +423,11 @@
     return state_->port;
 }
 
+void http_server::notify_disconnects()
+{
+    state_->group.monitor.notify_listeners();
+}
+
 void http_server::close_gracefully()
 {
     state_->stop_listening();
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -276,7 +276,8 @@
 
 encoded_message encode(builder& out, core::job_offer const& message)
 {
-    auto const& [job, elapsed, resumed, only_offered_here, sequence] = message;
+    auto const& [job, elapsed, resumed, only_offered_here, sequence, term] =
+        message;
     auto const service = out.CreateString(job.service);
     auto const payload = out.CreateString(job.payload);
     std::vector<fb::Offset<detail::TaskGroup>> groups;
@@ -291,7 +292,7 @@
                                    group_list, job.max_attempts, job.priority,
                                    job.objective.count(),
                                    job.time_limit.count(), elapsed.count(),
-                                   resumed, only_offered_here, sequence)
+                                   resumed, only_offered_here, sequence, term)
                 .Union()};
 }
 
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -106,6 +106,7 @@
     message.resumed = source.resumed();
     message.only_offered_here = source.only_offered_here();
     message.sequence = source.sequence();
+    message.term = source.term();
     return message;
 }
 
--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -1,8 +1,11 @@
 #include "support/fleet_owner.hpp"
 
+#include "goldcrestgate/core/leasing/owner_token.hpp"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <utility>
 #include <vector>
 
 namespace
@@ -22,6 +25,7 @@
     CPPUNIT_TEST_SUITE(absent_callers_test);
     CPPUNIT_TEST(returned_instance_keeps_only_the_jobs_that_it_offers_again);
     CPPUNIT_TEST(offer_before_a_withdrawal_starts_nothing);
+    CPPUNIT_TEST(offer_of_an_earlier_term_starts_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +78,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(job.id));
     }
 
+    // Guards against starts for callers that have left: an offer waited in the
+    // connection while its receiver was paused, and the receiver claimed the
+    // executors again before it read the offer.
+    void offer_of_an_earlier_term_starts_nothing()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.list_all();
+        std::vector<scheduler_action> out;
+        owner.scheduler.take_over(make_owner_token(20, instance_id{1}), true,
+                                  fleet.now(), out);
+        owner.apply(out);
+        fleet.run_for(milliseconds{150});
+        auto const job = make_leased_job(7, 1, milliseconds{300});
+        fleet.set_work(job.id, milliseconds{300});
+        for (auto const& [term, starts] :
+             {std::pair{19, std::size_t{0}}, std::pair{20, std::size_t{1}}})
+        {
+            job_offer offer{job};
+            offer.term = static_cast<std::uint64_t>(term);
+            out.clear();
+            owner.scheduler.offer(instance_id{1}, offer, fleet.now(), out);
+            owner.apply(out);
+            fleet.run_for(milliseconds{100});
+            CPPUNIT_ASSERT_EQUAL(starts, fleet.starts(job.id));
+        }
+    }
+
 private:
     static void expect_completed(fleet_owner const& owner, client_job_id job)
     {
--- a/tests/unit/event_loop.cpp
+++ b/tests/unit/event_loop.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(exception_of_a_callback_is_reported);
     CPPUNIT_TEST(posted_work_and_timers_run_in_order);
     CPPUNIT_TEST(stall_is_reported_before_other_work);
+    CPPUNIT_TEST(stall_is_reported_before_socket_events);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,6 +159,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"stall posted timer"}, order);
     }
 
+    // Guards against orders on an ownership that has ended: socket events are
+    // handled before due timers, so they come first after a pause.
+    void stall_is_reported_before_socket_events()
+    {
+        event_loop loop;
+        std::string order;
+        loop.on_stall(milliseconds{20},
+                      [&order](goldcrestgate::core::duration)
+                      {
+                          order += "stall ";
+                      });
+        timer overdue{loop, [&order]
+                      {
+                          order += "timer";
+                      }};
+        overdue.start_after(milliseconds{1});
+        auto const before = loop.now();
+        loop.run_once(milliseconds{0});
+        std::this_thread::sleep_for(milliseconds{60});
+        // As a handler of a socket event does.
+        for (int i = 0; i < 2; ++i)
+        {
+            loop.run_guarded(
+                [&order]
+                {
+                    order += "request ";
+                });
+        }
+        CPPUNIT_ASSERT(loop.input_since() <= before);
+        run(loop);
+        CPPUNIT_ASSERT_EQUAL(std::string{"stall request request timer"}, order);
+    }
+
 private:
     static void write(h2o_socket_t* socket)
     {
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -59,7 +59,7 @@
     job.priority = 5;
     job.objective = milliseconds{156};
     job.time_limit = milliseconds{1500};
-    return {job, milliseconds{7}, true, true};
+    return {job, milliseconds{7}, true, true, 8, 9};
 }
 
 core::owner_heartbeat make_heartbeat()
@@ -110,7 +110,7 @@
             {{core::server_id{22}, 23}, {core::server_id{24}, 25}}},
         core::slot_message{26, std::nullopt, {}},
         make_offer(),
-        core::job_withdrawal{core::client_job_id{27}},
+        core::job_withdrawal{core::client_job_id{27}, 29},
         core::job_verdict{core::client_job_id{28}, core::job_outcome::rejected,
                           std::chrono::seconds{2}},
         make_heartbeat(),
--- a/tests/unit/http.cpp
+++ b/tests/unit/http.cpp
@@ -122,6 +122,8 @@
     CPPUNIT_TEST(deferred_reply_and_caller_disconnect_are_handled);
     CPPUNIT_TEST(slow_caller_is_answered_408);
     CPPUNIT_TEST(half_closed_caller_is_answered_400);
+    CPPUNIT_TEST(request_of_a_disconnected_caller_is_recognised);
+    CPPUNIT_TEST(disconnects_are_notified_on_request);
     CPPUNIT_TEST(body_over_the_limit_is_answered_413);
     CPPUNIT_TEST(caller_that_is_still_sending_receives_its_response);
     CPPUNIT_TEST_SUITE_END();
@@ -300,6 +302,66 @@
             });
     }
 
+    // Guards against work for a caller that has left: its request waited in the
+    // socket while the process was paused, and the hangup was reported before
+    // the request was read.
+    void request_of_a_disconnected_caller_is_recognised()
+    {
+        http_fixture fixture{{}};
+        std::vector<bool> disconnected;
+        fixture.server.route(
+            "GET", "/late",
+            [&](io::http_request const&, io::http_reply const& reply)
+            {
+                disconnected.push_back(reply.caller_disconnected());
+                reply.send({200, "", "text/plain", {}});
+            });
+        raw_caller const waiting{fixture.address()};
+        waiting.write("GET /late HTTP/1.1\r\nhost: x\r\n\r\n");
+        {
+            raw_caller const leaving{fixture.address()};
+            leaving.write("GET /late HTTP/1.1\r\nhost: x\r\n\r\n");
+        }
+        fixture.run_until(
+            [&]
+            {
+                return disconnected.size() == 2;
+            });
+        CPPUNIT_ASSERT(disconnected[0] != disconnected[1]);
+    }
+
+    // Guards against an answer to a disconnect that comes after other work: the
+    // disconnects of all callers so far can be handled at once.
+    void disconnects_are_notified_on_request()
+    {
+        http_fixture fixture{{}};
+        bool disconnected = false;
+        std::vector<io::http_reply> replies;
+        fixture.server.route(
+            "GET", "/hold",
+            [&](io::http_request const&, io::http_reply const& reply)
+            {
+                reply.on_caller_disconnect(
+                    [&]
+                    {
+                        disconnected = true;
+                    });
+                replies.push_back(reply);
+            });
+        {
+            raw_caller const caller{fixture.address()};
+            caller.write("GET /hold HTTP/1.1\r\nhost: x\r\n\r\n");
+            fixture.run_until(
+                [&]
+                {
+                    return replies.size() == 1;
+                });
+        }
+        fixture.server.notify_disconnects();
+        CPPUNIT_ASSERT(disconnected);
+        replies.at(0).send({200, "unread", "text/plain", {}});
+    }
+
     // Guards against closing the connection without a response when a caller
     // does not finish its request within the timeout.
     void slow_caller_is_answered_408()
