Let no lease outlast the time at which a caller may resubmit

With all instances killed at once, a run stopped 1.30 s after the kill.

Cause: each order that reaches an executor renews the lease of all its runs, whether or not anybody waits for them. Only a stop ended a run without a caller, 325 ms to 1.1 s later; a pause or a kill of the owner in this time, or a stop without an answer, gave the run another second.

Ruled out: a shorter wait for the offers of runs that are found. It narrows the interval, and a second kill renews the leases as before.

Change: the lease that an order grants ends at most 1.2 s after the last sign that the callers of all runs on the executor wait: the last message of the instance that has the caller, the withdrawal, or, for inherited runs that no job claims yet, the last message of the earlier owner. Messages count with the time before a pause of the process that reads them. If no time is known, the executor gets no renewal until these runs have ended; they are stopped after 150 ms. Withdrawn jobs are cancelled after half of the resubmission delay instead of 1.1 s. Starts do not extend leases beyond the same limit.

--- a/include/goldcrestgate/core/leasing/detail/executor_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/executor_record.hpp
@@ -50,6 +50,8 @@
     /// Set for a run whose job is not known here, such as that of an earlier
     /// owner until its job is offered again; the run is stopped at this time.
     std::optional<time_point> orphan_deadline;
+    /// Time until which the lease may keep such a run alive.
+    time_point orphan_lease_limit{};
     /// Whether an executor may have crashed under the task; nothing is started
     /// beside the run.
     bool isolated = false;
@@ -115,6 +117,10 @@
     /// Time at which all runs on the executor have ended because its lease
     /// expired, unless an order renews the lease.
     time_point lease_expires_at{};
+    /// End of the longest lease that this owner has granted.
+    time_point granted_until{};
+    /// Whether the last poll granted a much shorter lease than the longest one.
+    bool lease_withheld = false;
     std::uint64_t acknowledged = 0;
     /// Last order that was sent before this instance knew of the executor's
     /// present process or took ownership. An earlier process may have answered
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -111,6 +111,11 @@
     /// Renewals of the token since ownership was taken.
     std::uint64_t token_renewals = 0;
     time_point owner_since{};
+    /// Time until which leases may keep runs of the earlier owner alive that no
+    /// job claims.
+    time_point inherited_lease_limit{};
+    /// Last signs of life of other instances.
+    std::map<instance_id, time_point> heard;
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
     std::uint64_t last_order = 0;
@@ -273,8 +278,9 @@
     void remove_run(executor_record& executor, task_run const& run);
     [[nodiscard]] run_record* find_run(executor_record& executor,
                                        task_run const& run) const;
-    [[nodiscard]] std::optional<executor_clock>
-    lease_end(executor_record& executor, time_point now) const;
+    /// Time on the executor's clock at a time that is not long after now.
+    [[nodiscard]] static std::optional<executor_clock>
+    clock_at(executor_record const& executor, time_point time);
     [[nodiscard]] order_id next_order();
 
     // observations for the log
@@ -403,7 +409,24 @@
     [[nodiscard]] bool claims_complete(time_point now) const;
     /// Whether no executor can have a run that is not listed here.
     [[nodiscard]] bool all_runs_known() const;
+    /// Time after which a lease has surely expired that is granted now.
     [[nodiscard]] duration lease_expiry_time() const;
+    [[nodiscard]] static duration lease_expiry_time(duration lease);
+    /// Time until which an order may extend the executor's lease. A run must
+    /// have ended before its caller may resubmit the job, also if this owner is
+    /// paused or lost.
+    [[nodiscard]] time_point lease_limit(executor_record const& executor,
+                                         time_point now) const;
+    [[nodiscard]] time_point lease_limit(run_record const& run) const;
+    /// Time since the caller was last known to wait until its runs must end.
+    [[nodiscard]] duration lease_without_caller() const;
+    /// End of the lease that a start grants: it does not extend the lease
+    /// beyond its limit.
+    [[nodiscard]] time_point start_lease_end(executor_record const& executor,
+                                             time_point now) const;
+    /// Records that an order grants a lease until a time.
+    static void grant_lease(executor_record& executor, time_point until,
+                            time_point now);
     [[nodiscard]] bool accepts(executor_record const& executor,
                                time_point now) const;
 };
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -45,9 +45,14 @@
     /// @param roster_known whether all executors that the earlier owner used
     /// are listed; otherwise jobs that it may have started wait until its
     /// leases have certainly expired
+    /// @param earlier_owner the instance that owned the executors, 0 if
+    /// unknown; leases of its runs that no job claims are renewed only until
+    /// the callers that left after its last sign of life may resubmit their
+    /// jobs
     /// @pre @a token is higher than every token that this process has used
     void take_over(fencing_token token, bool roster_known, time_point now,
-                   std::vector<scheduler_action>& out);
+                   std::vector<scheduler_action>& out,
+                   instance_id earlier_owner = {});
 
     /// @brief Releases all executors and discards all jobs without verdicts;
     /// the instances that have the callers offer the jobs to the next owner.
@@ -128,6 +133,11 @@
     /// their jobs elsewhere.
     void origin_lost(instance_id origin, time_point now);
 
+    /// @brief Handles a sign of life of an instance. Runs of its callers get no
+    /// leases that go on for long after the last one.
+    /// @param sent_after a time before which the sign was not sent
+    void origin_heard(instance_id origin, time_point sent_after);
+
     /// @brief Handles the return of an instance that was only silent. Its jobs
     /// that have not been cancelled yet go on if it offers them again shortly;
     /// the callers of the others have left.
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -338,6 +338,7 @@
                                 core::peer_message& message)
 {
     auto const now = loop_.now();
+    scheduler_.origin_heard(from.instance, loop_.input_since());
     std::visit(
         core::detail::overloaded{
             [&](core::owner_heartbeat const& heartbeat)
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -46,9 +46,16 @@
 
 void job_scheduler::take_over(fencing_token token, bool roster_known,
                               time_point now,
-                              std::vector<scheduler_action>& out)
+                              std::vector<scheduler_action>& out,
+                              instance_id earlier_owner)
 {
     scheduler_context context{now, out};
+    // Until then the earlier owner has stopped the runs of callers that left.
+    auto const heard = state_.heard.find(earlier_owner);
+    state_.inherited_lease_limit =
+        heard == state_.heard.end()
+            ? now
+            : heard->second + state_.lease_without_caller();
     state_.owner = true;
     state_.fenced = false;
     state_.token = token;
@@ -64,6 +71,8 @@
     {
         executor.claimed = false;
         executor.fenced = false;
+        executor.granted_until = {};
+        executor.lease_withheld = false;
         executor.poll.reset();
         executor.next_poll_at = now;
         executor.last_uncertain_order = order_id{state_.last_order};
@@ -251,11 +260,13 @@
     }
     record.origin_lost = false;
     // The runs may still serve a resubmission by the caller, so they continue
-    // until shortly before the resubmission may arrive elsewhere.
-    auto const cancel_at =
-        now + state_.limits.resubmission_delay - 4 * state_.limits.stop_time;
+    // for some time, but their leases end before it may arrive elsewhere.
+    auto const cancel_at = now + state_.limits.resubmission_delay / 2;
+    auto const lease_limit = now + state_.lease_without_caller();
     record.cancel_at =
         std::min(record.cancel_at.value_or(cancel_at), cancel_at);
+    record.lease_limit =
+        std::min(record.lease_limit.value_or(lease_limit), lease_limit);
 }
 
 void job_scheduler::origin_lost(instance_id origin, time_point now)
@@ -271,6 +282,11 @@
     }
 }
 
+void job_scheduler::origin_heard(instance_id origin, time_point sent_after)
+{
+    state_.heard[origin] = sent_after;
+}
+
 void job_scheduler::origin_returned(instance_id origin, time_point now)
 {
     auto const until = now + lost_origin_wait(state_.limits);
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -25,6 +25,9 @@
 /// heartbeats.
 constexpr duration orphan_timeout = std::chrono::milliseconds{400};
 
+/// The same time if the lease of the run cannot be renewed meanwhile.
+constexpr duration short_orphan_timeout = std::chrono::milliseconds{150};
+
 } // namespace
 
 void scheduler_state::probe_owner(fencing_token silent_token,
@@ -152,6 +155,7 @@
     added.sent_at = now;
     added.confirmed_at = now;
     added.orphan_deadline = orphan_deadline;
+    added.orphan_lease_limit = now;
     return added;
 }
 
@@ -173,8 +177,12 @@
         {
             continue;
         }
-        add_listed_run(executor, listed.run, context.now,
-                       context.now + orphan_timeout);
+        auto const last_stop = inherited_lease_limit - 2 * limits.stop_time;
+        auto& run = add_listed_run(
+            executor, listed.run, context.now,
+            std::clamp(last_stop, context.now + short_orphan_timeout,
+                       context.now + orphan_timeout));
+        run.orphan_lease_limit = inherited_lease_limit;
     }
     for (auto& run : executor.runs)
     {
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -124,6 +124,7 @@
     {
         known->second.origin = origin;
         known->second.cancel_at.reset();
+        known->second.lease_limit.reset();
         known->second.origin_lost = false;
         if (may_run_elsewhere && !known->second.inherited)
         {
@@ -207,6 +208,7 @@
             if (run.run.task.job == id)
             {
                 run.orphan_deadline = context.now;
+                run.orphan_lease_limit = context.now;
                 request_stop(executor, run, context);
             }
         }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -40,8 +40,60 @@
 
 duration scheduler_state::lease_expiry_time() const
 {
-    return scale_duration(limits.longest_lease, clock_drift) +
-           lease_expiry_margin;
+    return lease_expiry_time(limits.longest_lease);
+}
+
+duration scheduler_state::lease_expiry_time(duration lease)
+{
+    return scale_duration(lease, clock_drift) + lease_expiry_margin;
+}
+
+duration scheduler_state::lease_without_caller() const
+{
+    return limits.resubmission_delay - 2 * limits.stop_time;
+}
+
+time_point scheduler_state::lease_limit(run_record const& run) const
+{
+    if (run.orphan_deadline)
+    {
+        return run.orphan_lease_limit;
+    }
+    auto const job = jobs.find(run.run.task.job);
+    if (job == jobs.end())
+    {
+        return time_point::max();
+    }
+    auto const limit = job->second.lease_limit.value_or(time_point::max());
+    auto const origin = heard.find(job->second.origin);
+    return origin == heard.end()
+               ? limit
+               : std::min(limit, origin->second + lease_without_caller());
+}
+
+time_point scheduler_state::lease_limit(executor_record const& executor,
+                                        time_point now) const
+{
+    auto limit = now + limits.longest_lease;
+    for (auto const& run : executor.runs)
+    {
+        limit = std::min(limit, lease_limit(run));
+    }
+    return limit;
+}
+
+time_point scheduler_state::start_lease_end(executor_record const& executor,
+                                            time_point now) const
+{
+    return std::max(lease_limit(executor, now), executor.granted_until);
+}
+
+void scheduler_state::grant_lease(executor_record& executor, time_point until,
+                                  time_point now)
+{
+    executor.granted_until = std::max(executor.granted_until, until);
+    executor.lease_expires_at = std::max(executor.lease_expires_at,
+                                         now + lease_expiry_time(until - now));
 }
 
 // A restarted executor may carry out a late start of an earlier owner and
@@ -77,13 +129,19 @@
     order.executor = executor.id;
     order.token = token;
     order.acknowledged = acknowledged;
-    bool const renews = executor.claimed && !executor.unresponsive;
-    if (renews)
+    bool const is_usable = executor.claimed && !executor.unresponsive;
+    if (is_usable)
     {
-        order.lease_until = lease_end(executor, context.now);
-        executor.lease_expires_at = context.now + lease_expiry_time();
+        auto const limit = lease_limit(executor, context.now);
+        executor.lease_withheld =
+            limit < context.now + limits.longest_lease / 2;
+        if (limit > context.now)
+        {
+            order.lease_until = clock_at(executor, limit);
+            grant_lease(executor, limit, context.now);
+        }
     }
-    bool const waits = renews && !executor.capacity_unconfirmed;
+    bool const waits = is_usable && !executor.capacity_unconfirmed;
     bool const is_extra_poll = executor.poll.has_value();
     order.wait = waits && !is_extra_poll ? poll_wait : duration{};
     order.timeout = order.wait + poll_answer_margin;
@@ -401,7 +459,11 @@
                             !executor.unanswered_starts.empty();
         bool const is_due = needed && !executor.poll && !executor.fenced &&
                             context.now >= executor.next_poll_at;
-        if (is_due || needs_extra_poll(executor, context.now))
+        bool const may_renew = executor.lease_withheld && executor.claimed &&
+                               !executor.unresponsive &&
+                               lease_limit(executor, context.now) >=
+                                   context.now + limits.longest_lease / 2;
+        if (is_due || may_renew || needs_extra_poll(executor, context.now))
         {
             send_poll(executor, context);
         }
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -97,14 +97,14 @@
 // than its arrival by the network delay of the answer, so the executor's clock
 // shows at least the estimate unless it runs slow.
 std::optional<executor_clock>
-scheduler_state::lease_end(executor_record& executor, time_point now) const
+scheduler_state::clock_at(executor_record const& executor, time_point time)
 {
     if (!executor.clock)
     {
         return std::nullopt;
     }
     auto const since = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - executor.clock_at + limits.longest_lease);
+        time - executor.clock_at);
     return executor_clock{executor.clock->value() +
                           static_cast<std::uint64_t>(since.count())};
 }
@@ -131,10 +131,11 @@
     bool const was_idle = executor.runs.empty();
     executor.used += run.amounts;
     executor.runs.push_back(run);
-    executor.lease_expires_at = context.now + lease_expiry_time();
+    auto const lease_until = start_lease_end(executor, context.now);
+    grant_lease(executor, lease_until, context.now);
     context.out.emplace_back(start_run{
         next_order(), executor.id, run.run, job.job.payload, token,
-        lease_end(executor, context.now).value(), order_answer_timeout});
+        clock_at(executor, lease_until).value(), order_answer_timeout});
     if (!executor.poll)
     {
         send_poll(executor, context, was_idle ? executor.acknowledged : 0);
@@ -379,6 +380,7 @@
     executor.poll.reset();
     executor.next_poll_at = context.now;
     executor.clock.reset();
+    executor.granted_until = {};
     executor.acknowledged = 0;
     executor.unresponsive = false;
     // An executor that has left after draining has not crashed.
@@ -446,6 +448,7 @@
     auto const runs = std::exchange(executor.runs, {});
     executor.used = {};
     executor.clock.reset();
+    executor.granted_until = {};
     executor.acknowledged = 0;
     executor.unresponsive = false;
     for (auto const& run : runs)
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -14,6 +14,9 @@
 /// suspect tasks, so that a wave of crashes does not stop the other tasks.
 constexpr std::size_t reserved_divisor = 8;
 
+/// Shortest lease of a start; a shorter one may end before it is renewed.
+constexpr duration min_start_lease = std::chrono::milliseconds{200};
+
 bool has_waiting(job_record const& job)
 {
     return std::ranges::any_of(job.groups,
@@ -70,6 +73,7 @@
     return !suspended && !has_suspect && executor.claimed && executor.clock &&
            executor.listed && now >= executor.usable_at &&
            !executor.unresponsive && !executor.capacity_unconfirmed &&
+           start_lease_end(executor, now) >= now + min_start_lease &&
            !size_unknown && !executor.description.draining &&
            executor.health.accepts(now, executor.runs.size());
 }
--- /dev/null
+++ b/tests/support/resubmission_run.cpp
@@ -0,0 +1,284 @@
+#include "support/resubmission_run.hpp"
+
+#include "support/fleet_owner.hpp"
+
+#include <cppunit/TestAssert.h>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace goldcrestgate::tests
+{
+
+using namespace core;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::uint32_t executors_per_domain = 4;
+
+/// Time for which callers wait for an answer.
+constexpr duration caller_wait = milliseconds{1500};
+
+/// Delay after which a caller that got no answer sends its job again.
+constexpr duration resubmission_delay = milliseconds{1300};
+constexpr int max_attempts = 3;
+
+constexpr duration run_time = std::chrono::seconds{16};
+
+} // namespace
+
+resubmission_run::resubmission_run(std::uint64_t seed,
+                                   resubmission_faults const& faults,
+                                   resubmission_load const& load)
+    : name_("seed " + std::to_string(seed))
+    , random_(seed)
+    , faults_(faults)
+    , load_(load)
+    , cluster_(domain_count, load.instances_per_domain, executors_per_domain)
+    , paused_until_(cluster_.size())
+    , processes_(cluster_.size(), incarnation{1})
+{
+    cluster_.on_answer = [this](answer_job const& answer)
+    {
+        record_answer(answer);
+    };
+}
+
+void resubmission_run::run()
+{
+    auto& fleet = cluster_.fleet();
+    fleet.run_for(milliseconds{800});
+    auto const end = fleet.now() + run_time;
+    auto next_fault = fleet.now() + pick_time(load_.fault_interval);
+    while (fleet.now() < end)
+    {
+        client_job_id const id{++last_job_};
+        auto const work = milliseconds{30} + pick_time(load_.longest_work);
+        fleet.set_work(id, work);
+        auto job = make_leased_job(
+            id.value(), static_cast<std::uint16_t>(1 + pick(3)), work);
+        job.time_limit = caller_wait;
+        jobs_[id] = std::move(job);
+        send(id);
+        if (fleet.now() >= next_fault)
+        {
+            inject_fault();
+            next_fault = fleet.now() + pick_time(load_.fault_interval);
+        }
+        fleet.run_for(milliseconds{1} + pick_time(load_.job_interval));
+    }
+    fleet.run_for(std::chrono::seconds{8});
+}
+
+void resubmission_run::check() const
+{
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("runs at the same time, " + name_,
+                                 std::size_t{0},
+                                 cluster_.fleet().duplicate_runs);
+    CPPUNIT_ASSERT_MESSAGE("jobs served, " + name_, served_ * 5 > jobs_.size());
+}
+
+duration resubmission_run::pick_time(duration longest)
+{
+    return duration{static_cast<duration::rep>(
+        pick(static_cast<std::uint64_t>(longest.count())))};
+}
+
+// --- callers ---
+
+void resubmission_run::send(client_job_id id)
+{
+    request_id const request{++last_request_};
+    auto const node = pick(cluster_.size());
+    attempts_[request] = {id, node, processes_[node]};
+    ++attempts_of_[id];
+    when_resumed(node,
+                 [this, request]
+                 {
+                     submit(request);
+                 });
+    cluster_.fleet().schedule(caller_wait,
+                              [this, request]
+                              {
+                                  leave(request);
+                              });
+}
+
+void resubmission_run::submit(request_id request)
+{
+    auto& sent = attempts_.at(request);
+    // An instance does not accept the request of a caller that has left.
+    if (sent.ended || processes_[sent.node] != sent.process)
+    {
+        return;
+    }
+    if (cluster_.is_paused(sent.node))
+    {
+        // The process is being restarted.
+        leave(request);
+        return;
+    }
+    sent.submitted = true;
+    cluster_.submit(sent.node, request, jobs_.at(sent.job));
+}
+
+void resubmission_run::leave(request_id request)
+{
+    auto& sent = attempts_.at(request);
+    if (std::exchange(sent.ended, true))
+    {
+        return;
+    }
+    send_again(sent.job);
+    if (sent.submitted)
+    {
+        when_resumed(sent.node,
+                     [this, request]
+                     {
+                         auto const& left = attempts_.at(request);
+                         if (processes_[left.node] == left.process)
+                         {
+                             cluster_.disconnect_caller(left.node, request);
+                         }
+                     });
+    }
+}
+
+void resubmission_run::send_again(client_job_id id)
+{
+    if (attempts_of_[id] < max_attempts)
+    {
+        cluster_.fleet().schedule(resubmission_delay,
+                                  [this, id]
+                                  {
+                                      send(id);
+                                  });
+    }
+}
+
+void resubmission_run::record_answer(answer_job const& answer)
+{
+    auto& sent = attempts_.at(answer.request);
+    if (std::exchange(sent.ended, true))
+    {
+        return;
+    }
+    served_ += answer.outcome == job_outcome::completed ? 1 : 0;
+    if (answer.outcome == job_outcome::abandoned)
+    {
+        send_again(sent.job);
+    }
+}
+
+// --- faults ---
+
+void resubmission_run::inject_fault()
+{
+    std::vector<std::function<void()>> kinds;
+    if (faults_.resets)
+    {
+        kinds.emplace_back(
+            [this]
+            {
+                auto const left = pick(cluster_.size());
+                auto const right = pick(cluster_.size());
+                for (std::uint64_t i = 1 + pick(4); i > 0 && left != right; --i)
+                {
+                    cluster_.fleet().schedule(pick_time(milliseconds{400}),
+                                              [this, left, right]
+                                              {
+                                                  cluster_.reset(left, right);
+                                              });
+                }
+            });
+    }
+    if (faults_.pauses)
+    {
+        kinds.emplace_back(
+            [this]
+            {
+                pause(pick(cluster_.size()), pick_time(load_.longest_pause));
+            });
+    }
+    if (faults_.joint_pauses)
+    {
+        kinds.emplace_back(
+            [this]
+            {
+                auto const time = pick_time(load_.longest_pause);
+                for (std::size_t node = 0; node < cluster_.size(); ++node)
+                {
+                    pause(node, time);
+                }
+            });
+    }
+    if (faults_.restarts)
+    {
+        kinds.emplace_back(
+            [this]
+            {
+                restart(pick(cluster_.size()));
+            });
+    }
+    if (faults_.joint_restarts)
+    {
+        kinds.emplace_back(
+            [this]
+            {
+                for (std::size_t node = 0; node < cluster_.size(); ++node)
+                {
+                    restart(node);
+                }
+            });
+    }
+    kinds[pick(kinds.size())]();
+}
+
+void resubmission_run::pause(std::size_t node, duration time)
+{
+    if (!cluster_.is_paused(node) && time > duration{})
+    {
+        paused_until_[node] = cluster_.fleet().now() + time;
+        cluster_.pause(node, time);
+    }
+}
+
+// The connections of the callers end at once; the new process starts after a
+// delay, during which the node takes no requests.
+void resubmission_run::restart(std::size_t node)
+{
+    if (cluster_.is_paused(node))
+    {
+        return;
+    }
+    processes_[node] = incarnation{processes_[node].value() + 1};
+    cluster_.restart(node, milliseconds{300} + pick_time(milliseconds{700}));
+    for (auto& [request, sent] : attempts_)
+    {
+        if (sent.node == node && sent.process != processes_[node])
+        {
+            leave(request);
+        }
+    }
+}
+
+void resubmission_run::when_resumed(std::size_t node,
+                                    std::function<void()> work)
+{
+    auto const now = cluster_.fleet().now();
+    if (now >= paused_until_[node])
+    {
+        work();
+        return;
+    }
+    cluster_.fleet().schedule(paused_until_[node] - now,
+                              [this, node, work = std::move(work)]
+                              {
+                                  when_resumed(node, work);
+                              });
+}
+
+} // namespace goldcrestgate::tests
--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(returned_instance_keeps_only_the_jobs_that_it_offers_again);
     CPPUNIT_TEST(offer_before_a_withdrawal_starts_nothing);
     CPPUNIT_TEST(offer_of_an_earlier_term_starts_nothing);
+    CPPUNIT_TEST(lease_ends_with_the_silence_of_an_instance);
+    CPPUNIT_TEST(withdrawn_job_ends_although_its_owner_is_paused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,7 +108,50 @@
         }
     }
 
+    // Guards against runs beside those of a resubmission: an instance stood
+    // still, and the owner was paused before it cancelled the instance's jobs.
+    void lease_ends_with_the_silence_of_an_instance()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        start_long_run(owner);
+        owner.scheduler.origin_heard(instance_id{1}, fleet.now());
+        fleet.run_for(milliseconds{600});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
+        owner.pause(std::chrono::seconds{3});
+        fleet.run_for(milliseconds{1300 - 600});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+    }
+
+    // Guards against runs beside those of a resubmission: the owner was paused
+    // between the withdrawal of a job and the stop of its runs.
+    void withdrawn_job_ends_although_its_owner_is_paused()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        start_long_run(owner);
+        fleet.run_for(milliseconds{100});
+        std::vector<scheduler_action> out;
+        owner.scheduler.withdraw(instance_id{1}, {client_job_id{7}},
+                                 fleet.now(), out);
+        owner.apply(out);
+        fleet.run_for(milliseconds{600});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
+        owner.pause(std::chrono::seconds{3});
+        fleet.run_for(milliseconds{1300 - 600});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+    }
+
 private:
+    static void start_long_run(fleet_owner& owner)
+    {
+        owner.submit(
+            tests::make_patient_job(7, milliseconds{4000}, milliseconds{6000}),
+            milliseconds{4000});
+    }
+
     static void expect_completed(fleet_owner const& owner, client_job_id job)
     {
         auto const found = owner.verdicts.find(job);
--- a/tests/unit/inherited_runs.cpp
+++ b/tests/unit/inherited_runs.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(known_job_that_is_resumed_waits_for_the_claims);
     CPPUNIT_TEST(late_list_of_executors_hides_no_run_of_a_living_owner);
     CPPUNIT_TEST(job_that_did_not_move_is_not_delayed);
+    CPPUNIT_TEST(unclaimed_run_is_not_kept_alive);
+    CPPUNIT_TEST(unclaimed_run_ends_in_time_after_a_silent_owner);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,6 +112,43 @@
         check_completed(3);
     }
 
+    // Guards against runs beside those of a resubmission: a restarted process
+    // claimed the executors just before their leases ended and renewed them,
+    // and was killed before it stopped the runs.
+    void unclaimed_run_is_not_kept_alive()
+    {
+        start_long_run();
+        first_.kill();
+        fleet_.run_for(milliseconds{800});
+        second_.list_all();
+        second_.take_over(second_token, false);
+        fleet_.run_for(milliseconds{140});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet_.running(job_id));
+        second_.kill();
+        fleet_.run_for(milliseconds{1300 - 800 - 140});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.running(job_id));
+    }
+
+    // Guards against the same with the successor of a paused owner, which may
+    // keep such runs alive for a time.
+    void unclaimed_run_ends_in_time_after_a_silent_owner()
+    {
+        start_long_run();
+        first_.kill();
+        second_.scheduler.origin_heard(instance_id{1}, fleet_.now());
+        fleet_.run_for(milliseconds{550});
+        second_.list_all();
+        std::vector<scheduler_action> out;
+        second_.scheduler.take_over(fleet_owner::token_of(second_token), true,
+                                    fleet_.now(), out, instance_id{1});
+        second_.apply(out);
+        fleet_.run_for(milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet_.running(job_id));
+        second_.kill();
+        fleet_.run_for(milliseconds{1300 - 550 - 300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.running(job_id));
+    }
+
     // Guards against a second run of a task whose run is on an executor that
     // the successor has not claimed yet, when a resubmission of the job arrives
     // before the offer that names it as resumed.
@@ -186,6 +225,17 @@
         return job;
     }
 
+    void start_long_run()
+    {
+        first_.start(first_token);
+        first_.submit(tests::make_patient_job(job_id.value(),
+                                              milliseconds{4000},
+                                              milliseconds{6000}),
+                      milliseconds{4000});
+        fleet_.run_for(milliseconds{100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet_.running(job_id));
+    }
+
     void replace_owner()
     {
         first_.kill();
