Ignore refusals of earlier offers of a job

Cause: a verdict named the job but not the offer that it answered. A gateway offered a job again after a pause, withdrew it, took its resubmission and offered that to the same owner's next term. The owner refused the first offer and accepted the second; the gateway took the refusal for the answer to its only offer and offered the job to another failure domain.

Ruled out: a second submission (one request), a late offer after a withdrawal (the numbers of the trace are in order).

Change: verdicts carry the number of the offer or withdrawal that they answer, and those of earlier ones are ignored, except completed and failed.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -40,6 +40,8 @@
 {
     leased_job job;
     instance_id origin;
+    /// Number of the last offer.
+    std::uint64_t sequence = 0;
     time_point due{};
     time_point deadline{};
     duration critical_path_time{};
--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -130,17 +130,22 @@
         /// Whether the owner has answered that its term has ended.
         bool refused = false;
         std::vector<domain_id> declined;
+        /// Number of the last offer.
+        std::uint64_t sequence = 0;
     };
 
     struct open_withdrawal
     {
         time_point since{};
         time_point sent_at{};
+        /// Number of the first message.
+        std::uint64_t sequence = 0;
         std::uint32_t repeats = 0;
     };
 
     void offer_to_owner(open_job& open, std::span<owner_view const> owners,
                         time_point now, std::vector<gateway_action>& out);
+    void withdrawal_answered(instance_id from, job_verdict const& received);
     static void owner_refused(open_job& open, time_point now);
     void update_owner(open_job& open, std::span<owner_view const> owners,
                       time_point now, std::vector<gateway_action>& out);
@@ -151,8 +156,8 @@
                 std::string_view reason, time_point now,
                 std::vector<gateway_action>& out);
     /// Offers a job to its owner.
-    void send_offer_to(open_job const& open, bool only_offered_here,
-                       time_point now, std::vector<gateway_action>& out);
+    void send_offer_to(open_job& open, bool only_offered_here, time_point now,
+                       std::vector<gateway_action>& out);
     void withdraw(instance_id owner, client_job_id job, time_point now,
                   std::vector<gateway_action>& out);
     void repeat_withdrawals(time_point now, std::vector<gateway_action>& out);
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -71,6 +71,8 @@
     job_outcome outcome = job_outcome::abandoned;
     /// When rejected: time after which capacity is expected.
     duration retry_after{};
+    /// Number of the offer that it answers; 0 if that was not numbered.
+    std::uint64_t sequence = 0;
 };
 
 /// @brief Heartbeat of an instance with its ownership and load.
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -2551,7 +2551,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_JOB = 4,
     VT_OUTCOME = 6,
-    VT_RETRY_AFTER_US = 8
+    VT_RETRY_AFTER_US = 8,
+    VT_SEQUENCE = 10
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2562,11 +2563,15 @@
   int64_t retry_after_us() const {
     return GetField<int64_t>(VT_RETRY_AFTER_US, 0);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyField<int64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -2584,6 +2589,9 @@
   void add_retry_after_us(int64_t retry_after_us) {
     fbb_.AddElement<int64_t>(JobVerdict::VT_RETRY_AFTER_US, retry_after_us, 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(JobVerdict::VT_SEQUENCE, sequence, 0);
+  }
   explicit JobVerdictBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2599,8 +2607,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t job = 0,
     uint8_t outcome = 0,
-    int64_t retry_after_us = 0) {
+    int64_t retry_after_us = 0,
+    uint64_t sequence = 0) {
   JobVerdictBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_job(job);
   builder_.add_outcome(outcome);
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -118,23 +118,24 @@
     send_offer_to(open, false, now, out);
 }
 
-void job_gateway::send_offer_to(open_job const& open, bool only_offered_here,
+void job_gateway::send_offer_to(open_job& open, bool only_offered_here,
                                 time_point now,
                                 std::vector<gateway_action>& out)
 {
     auto const owner = open.owner->instance;
     withdrawals_.erase({open.job.id, owner});
+    open.sequence = ++last_sequence_;
     out.emplace_back(
         send_offer{owner,
                    {open.job, now - open.arrived, open.resumed,
-                    only_offered_here, ++last_sequence_, open.owner->term}});
+                    only_offered_here, open.sequence, open.owner->term}});
 }
 
 void job_gateway::withdraw(instance_id owner, client_job_id job, time_point now,
                            std::vector<gateway_action>& out)
 {
-    withdrawals_[{job, owner}] = {now, now};
-    out.emplace_back(send_withdrawal{owner, {job, ++last_sequence_}});
+    withdrawals_[{job, owner}] = {now, now, ++last_sequence_};
+    out.emplace_back(send_withdrawal{owner, {job, last_sequence_}});
 }
 
 void job_gateway::repeat_withdrawals(time_point now,
@@ -191,7 +192,7 @@
 {
     if (received.outcome == job_outcome::withdrawn)
     {
-        withdrawals_.erase({received.job, from});
+        withdrawal_answered(from, received);
         return;
     }
     auto const found = jobs_.find(received.job);
@@ -201,6 +202,16 @@
         return;
     }
     auto& open = found->second;
+    // Nothing but the end of the job's tasks holds for a later offer too: the
+    // owner may have accepted that one.
+    bool const tasks_ended = received.outcome == job_outcome::completed ||
+                             received.outcome == job_outcome::failed;
+    bool const is_outdated =
+        received.sequence != 0 && received.sequence < open.sequence;
+    if (is_outdated && !tasks_ended)
+    {
+        return;
+    }
     if (received.outcome == job_outcome::not_owner)
     {
         owner_refused(open, now);
@@ -227,6 +238,19 @@
            "overloaded", now, out);
 }
 
+void job_gateway::withdrawal_answered(instance_id from,
+                                      job_verdict const& received)
+{
+    auto const found = withdrawals_.find({received.job, from});
+    bool const is_outdated = found != withdrawals_.end() &&
+                             received.sequence != 0 &&
+                             received.sequence < found->second.sequence;
+    if (found != withdrawals_.end() && !is_outdated)
+    {
+        withdrawals_.erase(found);
+    }
+}
+
 // The answer to the only offer of a job shows that nothing has started. After
 // several offers, an earlier one may have been accepted, so the job stays bound
 // to the failure domain.
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -246,7 +246,8 @@
     scheduler_context context{now, out};
     state_.withdrawn[{job, origin}] = {withdrawal.sequence,
                                        now + withdrawal_retention};
-    out.emplace_back(report_verdict{origin, {job, job_outcome::withdrawn, {}}});
+    out.emplace_back(report_verdict{
+        origin, {job, job_outcome::withdrawn, {}, withdrawal.sequence}});
     auto const found = state_.jobs.find(job);
     if (found == state_.jobs.end() || found->second.origin != origin)
     {
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -106,8 +106,8 @@
     bool const is_outdated = offered.term != 0 && offered.term != term;
     if (!owner || is_outdated)
     {
-        context.out.emplace_back(
-            report_verdict{origin, {id, job_outcome::not_owner, {}}});
+        context.out.emplace_back(report_verdict{
+            origin, {id, job_outcome::not_owner, {}, offered.sequence}});
         return;
     }
     if (auto const withdrawal = withdrawn.find({id, origin});
@@ -123,6 +123,7 @@
     if (auto const known = jobs.find(id); known != jobs.end())
     {
         known->second.origin = origin;
+        known->second.sequence = offered.sequence;
         known->second.cancel_at.reset();
         known->second.lease_limit.reset();
         known->second.origin_lost = false;
@@ -135,12 +136,15 @@
     if (auto const ended = retained_verdicts.find(id);
         ended != retained_verdicts.end())
     {
-        context.out.emplace_back(report_verdict{origin, ended->second.verdict});
+        auto verdict = ended->second.verdict;
+        verdict.sequence = offered.sequence;
+        context.out.emplace_back(report_verdict{origin, verdict});
         return;
     }
     job_record job;
     job.job = offered.job;
     job.origin = origin;
+    job.sequence = offered.sequence;
     job.due = context.now - offered.elapsed + offered.job.objective;
     job.deadline = context.now - offered.elapsed + offered.job.time_limit;
     job.critical_path_time = critical_path(offered.job.groups);
@@ -213,7 +217,7 @@
             }
         }
     }
-    job_verdict const verdict{id, outcome, retry_after};
+    job_verdict const verdict{id, outcome, retry_after, job.sequence};
     context.out.emplace_back(report_verdict{job.origin, verdict});
     scheduler_log_event log_event{.event = "job_ended", .job = id};
     log_event.reason = reason;
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -305,11 +305,11 @@
 
 encoded_message encode(builder& out, core::job_verdict const& message)
 {
-    auto const& [job, outcome, retry_after] = message;
+    auto const& [job, outcome, retry_after, sequence] = message;
     return {detail::Message::JobVerdict,
             detail::CreateJobVerdict(out, job.value(),
                                      static_cast<std::uint8_t>(outcome),
-                                     retry_after.count())
+                                     retry_after.count(), sequence)
                 .Union()};
 }
 
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -126,7 +126,8 @@
     }
     return core::job_verdict{core::client_job_id{source.job()},
                              static_cast<core::job_outcome>(source.outcome()),
-                             core::duration{source.retry_after_us()}};
+                             core::duration{source.retry_after_us()},
+                             source.sequence()};
 }
 
 std::optional<core::peer_message> decode(OwnerHeartbeat const& source)
--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -40,7 +40,9 @@
         fleet_owner owner{fleet};
         owner.start(1);
         auto const kept = owner.submit(7, 1, milliseconds{900});
-        owner.submit(8, 1, milliseconds{2000});
+        owner.submit(
+            tests::make_patient_job(8, milliseconds{2000}, milliseconds{6000}),
+            milliseconds{2000});
         fleet.run_for(milliseconds{100});
         owner.scheduler.origin_lost(instance_id{1}, fleet.now());
         owner.scheduler.origin_returned(instance_id{1}, fleet.now());
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -112,7 +112,7 @@
         make_offer(),
         core::job_withdrawal{core::client_job_id{27}, 29},
         core::job_verdict{core::client_job_id{28}, core::job_outcome::rejected,
-                          std::chrono::seconds{2}},
+                          std::chrono::seconds{2}, 30},
         make_heartbeat(),
         core::executor_speeds{{{"i-1", 0.625, 12.0}}},
         core::peer_addresses{{"127.0.0.1:9101", "127.0.0.1:9102"}},
--- a/tests/unit/job_gateway.cpp
+++ b/tests/unit/job_gateway.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(job_of_a_disconnected_caller_is_withdrawn);
     CPPUNIT_TEST(withdrawal_is_repeated_until_it_is_answered);
     CPPUNIT_TEST(job_that_is_submitted_again_is_not_withdrawn);
+    CPPUNIT_TEST(refusal_of_an_earlier_offer_is_ignored);
+    CPPUNIT_TEST(answer_to_an_earlier_withdrawal_is_ignored);
     CPPUNIT_TEST(time_limit_ends_a_job);
     CPPUNIT_TEST(stopping_instance_answers_its_open_jobs);
     CPPUNIT_TEST(reconnected_owner_gets_the_job_again);
@@ -155,6 +157,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway_.open_jobs());
     }
 
+    // Guards against runs in two failure domains: the owner refused an offer of
+    // the job's earlier submission, while it had accepted that of the present
+    // one, and the job was offered to another failure domain.
+    void refusal_of_an_earlier_offer_is_ignored()
+    {
+        std::vector const owners{owner(1, 11), owner(2, 21)};
+        submit(owners);
+        auto const earlier = last<send_offer>().offer.sequence;
+        gateway_.caller_disconnected(request_id{1}, now_, out_);
+        submit(owners);
+        auto const present = last<send_offer>().offer.sequence;
+        for (auto const outcome :
+             {job_outcome::not_owner, job_outcome::rejected,
+              job_outcome::abandoned})
+        {
+            out_.clear();
+            deliver_verdict(11, outcome, owners, earlier);
+            gateway_.tick(owners, now_, out_);
+            CPPUNIT_ASSERT(out_.empty());
+        }
+        deliver_verdict(11, job_outcome::rejected, owners, present);
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{21});
+    }
+
+    // Guards against a withdrawal that is lost and not repeated, as the answer
+    // to an earlier one of the same job arrived.
+    void answer_to_an_earlier_withdrawal_is_ignored()
+    {
+        std::vector const owners{owner(1, 11)};
+        submit(owners);
+        gateway_.caller_disconnected(request_id{1}, now_, out_);
+        auto const earlier = last<send_withdrawal>().withdrawal.sequence;
+        submit(owners);
+        gateway_.caller_disconnected(request_id{1}, now_, out_);
+        auto const present = last<send_withdrawal>().withdrawal.sequence;
+        deliver_verdict(11, job_outcome::withdrawn, owners, earlier);
+        CPPUNIT_ASSERT(withdrawals_in(milliseconds{250}) > 0);
+        deliver_verdict(11, job_outcome::withdrawn, owners, present);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, withdrawals_in(milliseconds{250}));
+    }
+
     void time_limit_ends_a_job()
     {
         submit({owner(1, 11)});
@@ -198,11 +241,13 @@
     }
 
     void deliver_verdict(std::uint32_t from, job_outcome outcome,
-                         std::vector<owner_view> const& owners)
+                         std::vector<owner_view> const& owners,
+                         std::uint64_t sequence = 0)
     {
-        gateway_.verdict(instance_id{from},
-                         {client_job_id{7}, outcome, std::chrono::seconds{1}},
-                         owners, now_, out_);
+        gateway_.verdict(
+            instance_id{from},
+            {client_job_id{7}, outcome, std::chrono::seconds{1}, sequence},
+            owners, now_, out_);
     }
 
     /// Returns the number of withdrawals that are sent within a time.
--- a/tests/unit/resubmitting_callers.cpp
+++ b/tests/unit/resubmitting_callers.cpp
@@ -73,7 +73,7 @@
     static void play(resubmission_faults const& faults,
                      resubmission_load const& load)
     {
-        constexpr std::uint64_t seeds = 12;
+        constexpr std::uint64_t seeds = 20;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed)
         {
             resubmission_run run{seed, faults, load};
