End leases with the lost process of an instance, not with its next one

A job of an instance that is lost is cancelled 325 ms later. Messages of the instance's new process, which does not have the caller, extended the lease of the job's runs meanwhile, so that a paused owner left them running past the caller's resubmission.

Cause: the last sign of life was kept for the instance, not for its process. Ruled out by test: the pause alone (without the later message the lease ends in time).

Test: unit.absent_callers, job_of_a_restarted_instance_ends_although_its_owner_is_paused.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -60,8 +60,8 @@
     /// Set when the caller has disconnected or its instance is lost; the job's
     /// runs are stopped at this time.
     std::optional<time_point> cancel_at;
-    /// Set when the caller has disconnected: time until which leases may keep
-    /// the job's runs alive.
+    /// Set when the caller has disconnected or its instance is lost: time until
+    /// which leases may keep the job's runs alive.
     std::optional<time_point> lease_limit;
     /// Whether the job is only cancelled because its instance seems lost.
     bool origin_lost = false;
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -273,11 +273,17 @@
 void job_scheduler::origin_lost(instance_id origin, time_point now)
 {
     auto const until = now + lost_origin_wait(state_.limits);
+    // A new process of the instance does not have the callers.
+    auto const heard = state_.heard.find(origin);
+    auto const lease_limit =
+        state_.lease_without_caller() +
+        (heard == state_.heard.end() ? now : heard->second);
     for (auto& [id, job] : state_.jobs)
     {
         if (job.origin == origin && !job.cancel_at)
         {
             job.cancel_at = until;
+            job.lease_limit = lease_limit;
             job.origin_lost = true;
         }
     }
--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(offer_of_an_earlier_term_starts_nothing);
     CPPUNIT_TEST(lease_ends_with_the_silence_of_an_instance);
     CPPUNIT_TEST(withdrawn_job_ends_although_its_owner_is_paused);
+    CPPUNIT_TEST(job_of_a_restarted_instance_ends_although_its_owner_is_paused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,6 +147,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
     }
 
+    // Guards against runs beside those of a resubmission: the messages of an
+    // instance's new process extended the leases for the callers of the earlier
+    // one.
+    void job_of_a_restarted_instance_ends_although_its_owner_is_paused()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        start_long_run(owner);
+        owner.scheduler.origin_heard(instance_id{1}, fleet.now());
+        // The loss of an unresponsive instance is detected after 450 ms.
+        fleet.run_for(milliseconds{450});
+        owner.scheduler.origin_lost(instance_id{1}, fleet.now());
+        owner.scheduler.origin_heard(instance_id{1}, fleet.now());
+        fleet.run_for(milliseconds{300});
+        owner.scheduler.origin_heard(instance_id{1}, fleet.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
+        owner.pause(std::chrono::seconds{3});
+        fleet.run_for(milliseconds{1300 - 750});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+    }
+
 private:
     static void start_long_run(fleet_owner& owner)
     {
