Number the offers of a process above those of the earlier one

A verdict on an offer of an instance's earlier process could be taken for the verdict on an offer of its present one, which begins to count anew, and a withdrawal of the earlier process hid its offers for up to 1 s.

--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -71,8 +71,12 @@
 class job_gateway
 {
 public:
-    explicit job_gateway(domain_id own_domain)
+    /// @param own_domain failure domain of this instance
+    /// @param first_sequence offers and withdrawals get numbers above this one,
+    /// which must be above those of an earlier process
+    explicit job_gateway(domain_id own_domain, std::uint64_t first_sequence = 0)
         : own_domain_(own_domain)
+        , last_sequence_(first_sequence)
     {
     }
 
@@ -167,7 +171,7 @@
     /// Withdrawals that their owners have not answered.
     std::map<std::pair<client_job_id, instance_id>, open_withdrawal>
         withdrawals_;
-    std::uint64_t last_sequence_ = 0;
+    std::uint64_t last_sequence_;
 };
 
 } // namespace goldcrestgate::core
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -24,8 +24,8 @@
     /// Whether no other owner, and no earlier term of the receiver, can have
     /// accepted the job.
     bool only_offered_here = false;
-    /// Number of the message among the offers and withdrawals of the sender's
-    /// process, which rises from 1; 0 if it is not numbered.
+    /// Number of the message among the offers and withdrawals of the sender,
+    /// which rises; 0 if it is not numbered.
     std::uint64_t sequence = 0;
     /// Term of the receiver that the sender knows; 0 if it names none. The
     /// receiver refuses an offer of an earlier term: it may have waited in the
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -108,7 +108,7 @@
           self_,
           static_cast<std::uint32_t>(settings.cpu_share * weight_per_core),
           loop.now())
-    , gateway_(self_.domain)
+    , gateway_(self_.domain, self_.incarnation.value())
     , scheduler_({settings.longest_lease, settings.stop_time,
                   settings.resubmission_delay, settings.remote_rack_factor})
     , caller_server_(loop,
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -202,12 +202,12 @@
         return;
     }
     auto& open = found->second;
-    // Nothing but the end of the job's tasks holds for a later offer too: the
+    // Nothing but the end of the job's tasks holds for the last offer too: the
     // owner may have accepted that one.
     bool const tasks_ended = received.outcome == job_outcome::completed ||
                              received.outcome == job_outcome::failed;
     bool const is_outdated =
-        received.sequence != 0 && received.sequence < open.sequence;
+        received.sequence != 0 && received.sequence != open.sequence;
     if (is_outdated && !tasks_ended)
     {
         return;
--- a/tests/support/domain_cluster.cpp
+++ b/tests/support/domain_cluster.cpp
@@ -14,6 +14,9 @@
 constexpr duration network_delay = milliseconds{2};
 constexpr duration tick_interval = milliseconds{20};
 
+/// Offers of a process have numbers below this power of 2 times the next one's.
+constexpr unsigned process_number_bits = 32;
+
 /// Sizes of instances, in thousandths of a core.
 constexpr std::uint32_t largest_weight = 500;
 constexpr std::uint32_t weight_step = 10;
@@ -26,7 +29,7 @@
     : key(given)
     , weight(instance_weight)
     , ownership(given, weight, fleet.now())
-    , gateway(given.domain)
+    , gateway(given.domain, given.incarnation.value() << process_number_bits)
     , executors(fleet)
 {
 }
--- a/tests/unit/job_gateway.cpp
+++ b/tests/unit/job_gateway.cpp
@@ -176,6 +176,9 @@
             deliver_verdict(11, outcome, owners, earlier);
             gateway_.tick(owners, now_, out_);
             CPPUNIT_ASSERT(out_.empty());
+            // An earlier process of this instance may have used higher numbers.
+            deliver_verdict(11, outcome, owners, present + 100);
+            CPPUNIT_ASSERT(out_.empty());
         }
         deliver_verdict(11, job_outcome::rejected, owners, present);
         CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{21});
