Choose executors by the lease of their last poll

Cause: whether an executor accepts a start was decided with the lease limits of all its runs, a lookup of the job and of its instance for each run of each executor whenever tasks are placed. Owners of hundreds of executors ran out of processor time.

Ruled out: shorter leases as such.

Change: an executor with runs accepts a start if the lease that was granted last lasts for another 200 ms; one without runs always does.

--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -70,11 +70,13 @@
                             });
     bool const has_suspect =
         std::ranges::any_of(executor.runs, &run_record::isolated);
+    // Without runs, a start may grant the longest lease.
+    bool const has_lease = executor.runs.empty() ||
+                           executor.granted_until >= now + min_start_lease;
     return !suspended && !has_suspect && executor.claimed && executor.clock &&
            executor.listed && now >= executor.usable_at &&
            !executor.unresponsive && !executor.capacity_unconfirmed &&
-           start_lease_end(executor, now) >= now + min_start_lease &&
-           !size_unknown && !executor.description.draining &&
+           has_lease && !size_unknown && !executor.description.draining &&
            executor.health.accepts(now, executor.runs.size());
 }
 
