--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -114,7 +114,7 @@
     /// Time until which leases may keep runs of the earlier owner alive that no
     /// job claims.
     time_point inherited_lease_limit{};
-    /// Last signs of life of other instances.
+    /// Times before which the last messages of other instances were not sent.
     std::map<instance_id, time_point> heard;
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -47,8 +47,7 @@
     /// leases have certainly expired
     /// @param earlier_owner the instance that owned the executors, 0 if
     /// unknown; leases of its runs that no job claims are renewed only until
-    /// the callers that left after its last sign of life may resubmit their
-    /// jobs
+    /// the callers that left after its last message may resubmit their jobs
     /// @pre @a token is higher than every token that this process has used
     void take_over(fencing_token token, bool roster_known, time_point now,
                    std::vector<scheduler_action>& out,
@@ -133,9 +132,9 @@
     /// their jobs elsewhere.
     void origin_lost(instance_id origin, time_point now);
 
-    /// @brief Handles a sign of life of an instance. Runs of its callers get no
-    /// leases that go on for long after the last one.
-    /// @param sent_after a time before which the sign was not sent
+    /// @brief Records that an instance has sent a message. Leases of runs for
+    /// its callers end a fixed time after its last message.
+    /// @param sent_after a time before which the message was not sent
     void origin_heard(instance_id origin, time_point sent_after);
 
     /// @brief Handles the return of an instance that was only silent. Its jobs
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -89,8 +89,7 @@
                         std::optional<core::instance_id> target);
     void accept_hello(peer_connection& connection, core::hello const& message);
     void destroy_later(peer_connection& connection);
-    /// Returns whether the connection was established.
-    bool detach_connection(peer_state& peer, peer_connection& connection);
+    void detach_connection(peer_state& peer, peer_connection& connection);
     void post_event(core::event event);
 
     event_loop& loop_;
@@ -318,12 +317,12 @@
     if (id)
     {
         auto& peer = peer_of(*id);
-        bool const was_established = detach_connection(peer, connection);
+        detach_connection(peer, connection);
         if (peer.established.empty())
         {
             post_event(core::peer_lost{*id, refused});
         }
-        else if (was_established)
+        else if (connection.peer)
         {
             post_event(core::peer_messages_lost{*peer.key});
         }
@@ -331,13 +330,13 @@
     destroy_later(connection);
 }
 
-bool peer_network_state::detach_connection(peer_state& peer,
+void peer_network_state::detach_connection(peer_state& peer,
                                            peer_connection& connection)
 {
-    bool const was_established = std::erase(peer.established, &connection) > 0;
+    std::erase(peer.established, &connection);
     if (peer.outgoing != &connection)
     {
-        return was_established;
+        return;
     }
     peer.outgoing = nullptr;
     if (peer.address)
@@ -346,7 +345,6 @@
         peer.reconnect_delay =
             std::min(peer.reconnect_delay * 2, options_.max_reconnect_delay);
     }
-    return was_established;
 }
 
 // Destruction is posted, because the connection may be executing one of its own
--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -23,6 +23,8 @@
 class absent_callers_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(absent_callers_test);
+    CPPUNIT_TEST(work_of_a_lost_instance_stops_before_a_resubmission);
+    CPPUNIT_TEST(work_of_a_silent_instance_goes_on_if_it_returns);
     CPPUNIT_TEST(returned_instance_keeps_only_the_jobs_that_it_offers_again);
     CPPUNIT_TEST(offer_before_a_withdrawal_starts_nothing);
     CPPUNIT_TEST(offer_of_an_earlier_term_starts_nothing);
@@ -32,6 +34,41 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against runs that continue when the caller of a lost instance
+    // resubmits its job in another failure domain 1.3 s later.
+    void work_of_a_lost_instance_stops_before_a_resubmission()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        owner.submit(7, 2, milliseconds{1400});
+        fleet.run_for(milliseconds{50});
+        // The loss of an unresponsive instance is detected after 450 ms.
+        fleet.run_for(milliseconds{450});
+        owner.scheduler.origin_lost(instance_id{1}, fleet.now());
+        fleet.run_for(milliseconds{1300 - 450});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+    }
+
+    // Guards against jobs that are given up because their instance was silent
+    // for less time than its callers wait.
+    void work_of_a_silent_instance_goes_on_if_it_returns()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        auto const job = owner.submit(7, 2, milliseconds{700});
+        fleet.run_for(milliseconds{100});
+        owner.scheduler.origin_lost(instance_id{1}, fleet.now());
+        fleet.run_for(milliseconds{200});
+        owner.scheduler.origin_returned(instance_id{1}, fleet.now());
+        fleet.run_for(milliseconds{200});
+        owner.offer(job, true);
+        fleet.run_for(milliseconds{400});
+        expect_completed(owner, client_job_id{7});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.starts(client_job_id{7}));
+    }
+
     // Guards against runs beside those of a resubmission: an instance whose
     // connections were reset returned, and the owner took back the cancelling
     // also of the jobs whose callers had left meanwhile.
@@ -121,10 +158,7 @@
         start_long_run(owner);
         owner.scheduler.origin_heard(instance_id{1}, fleet.now());
         fleet.run_for(milliseconds{600});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
-        owner.pause(std::chrono::seconds{3});
-        fleet.run_for(milliseconds{1300 - 600});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+        pause_and_expect_end(fleet, owner, milliseconds{600});
     }
 
     // Guards against runs beside those of a resubmission: the owner was paused
@@ -141,10 +175,7 @@
                                  fleet.now(), out);
         owner.apply(out);
         fleet.run_for(milliseconds{600});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
-        owner.pause(std::chrono::seconds{3});
-        fleet.run_for(milliseconds{1300 - 600});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+        pause_and_expect_end(fleet, owner, milliseconds{600});
     }
 
     // Guards against runs beside those of a resubmission: the messages of an
@@ -163,10 +194,7 @@
         owner.scheduler.origin_heard(instance_id{1}, fleet.now());
         fleet.run_for(milliseconds{300});
         owner.scheduler.origin_heard(instance_id{1}, fleet.now());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
-        owner.pause(std::chrono::seconds{3});
-        fleet.run_for(milliseconds{1300 - 750});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+        pause_and_expect_end(fleet, owner, milliseconds{750});
     }
 
 private:
@@ -177,6 +205,19 @@
             milliseconds{4000});
     }
 
+    /// Pauses the owner and checks that the long run ends before its caller
+    /// submits the job again.
+    /// @param elapsed time since the caller was last known to wait
+    static void pause_and_expect_end(executor_fleet& fleet, fleet_owner& owner,
+                                     milliseconds elapsed)
+    {
+        constexpr milliseconds resubmission_delay{1300};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(client_job_id{7}));
+        owner.pause(std::chrono::seconds{3});
+        fleet.run_for(resubmission_delay - elapsed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
+    }
+
     static void expect_completed(fleet_owner const& owner, client_job_id job)
     {
         auto const found = owner.verdicts.find(job);
--- a/tests/unit/http.cpp
+++ b/tests/unit/http.cpp
@@ -112,6 +112,24 @@
     int descriptor_;
 };
 
+/// Adds the path /hold, whose handler keeps the replies and notes a disconnect.
+/// @pre the references outlive the fixture's requests
+void hold_requests(http_fixture& fixture, std::vector<io::http_reply>& replies,
+                   bool& disconnected)
+{
+    fixture.server.route(
+        "GET", "/hold",
+        [&](io::http_request const&, io::http_reply const& reply)
+        {
+            reply.on_caller_disconnect(
+                [&]
+                {
+                    disconnected = true;
+                });
+            replies.push_back(reply);
+        });
+}
+
 class http_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(http_test);
@@ -268,17 +286,7 @@
         http_fixture fixture{{}};
         bool disconnected = false;
         std::vector<io::http_reply> replies;
-        fixture.server.route(
-            "GET", "/hold",
-            [&](io::http_request const&, io::http_reply const& reply)
-            {
-                reply.on_caller_disconnect(
-                    [&]
-                    {
-                        disconnected = true;
-                    });
-                replies.push_back(reply);
-            });
+        hold_requests(fixture, replies, disconnected);
         {
             raw_caller const caller{fixture.address()};
             caller.write("GET /hold HTTP/1.1\r\nhost: x\r\n\r\n");
@@ -337,17 +345,7 @@
         http_fixture fixture{{}};
         bool disconnected = false;
         std::vector<io::http_reply> replies;
-        fixture.server.route(
-            "GET", "/hold",
-            [&](io::http_request const&, io::http_reply const& reply)
-            {
-                reply.on_caller_disconnect(
-                    [&]
-                    {
-                        disconnected = true;
-                    });
-                replies.push_back(reply);
-            });
+        hold_requests(fixture, replies, disconnected);
         {
             raw_caller const caller{fixture.address()};
             caller.write("GET /hold HTTP/1.1\r\nhost: x\r\n\r\n");
--- a/tests/unit/job_scheduler.cpp
+++ b/tests/unit/job_scheduler.cpp
@@ -34,8 +34,6 @@
     CPPUNIT_TEST(overload_is_rejected_at_once);
     CPPUNIT_TEST(fenced_owner_reports_nothing);
     CPPUNIT_TEST(repeated_offer_gets_the_same_verdict);
-    CPPUNIT_TEST(work_of_a_lost_instance_stops_before_a_resubmission);
-    CPPUNIT_TEST(work_of_a_silent_instance_goes_on_if_it_returns);
     CPPUNIT_TEST(lost_answers_do_not_eject_an_executor);
     CPPUNIT_TEST(replaced_executor_is_polled_rarely);
     CPPUNIT_TEST(job_submitted_again_in_another_shape_runs);
@@ -85,25 +83,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
     }
 
-    // Guards against jobs that are given up because their instance was silent
-    // for less time than its callers wait.
-    void work_of_a_silent_instance_goes_on_if_it_returns()
-    {
-        executor_fleet fleet{2};
-        fleet_owner owner{fleet};
-        owner.start(1);
-        auto const job = owner.submit(7, 2, milliseconds{700});
-        fleet.run_for(milliseconds{100});
-        owner.scheduler.origin_lost(instance_id{1}, fleet.now());
-        fleet.run_for(milliseconds{200});
-        owner.scheduler.origin_returned(instance_id{1}, fleet.now());
-        fleet.run_for(milliseconds{200});
-        owner.offer(job, true);
-        fleet.run_for(milliseconds{400});
-        expect(owner, 7, job_outcome::completed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.starts(client_job_id{7}));
-    }
-
     // Guards against two runs of a task at a time: the news that an executor
     // has restarted arrives after its new process has accepted the start.
     void run_on_a_restarted_executor_is_not_started_again()
@@ -443,22 +422,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.starts(client_job_id{7}));
     }
 
-    // Guards against runs that continue when the caller of a lost instance
-    // resubmits its job in another failure domain 1.3 s later.
-    void work_of_a_lost_instance_stops_before_a_resubmission()
-    {
-        executor_fleet fleet{2};
-        fleet_owner owner{fleet};
-        owner.start(1);
-        owner.submit(7, 2, milliseconds{1400});
-        fleet.run_for(milliseconds{50});
-        // The loss of an unresponsive instance is detected after 450 ms.
-        fleet.run_for(milliseconds{450});
-        owner.scheduler.origin_lost(instance_id{1}, fleet.now());
-        fleet.run_for(milliseconds{1300 - 450});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(client_job_id{7}));
-    }
-
     // Guards against executors that are ejected because some orders get no
     // answer: when links to executors dropped orders, only a third of the jobs
     // were served.
