Keep the cancellation of a job in one place

A job's cancelling was three members that are always set and cleared together (cancel_at, lease_limit, origin_lost). The expiry of verdicts and of withdrawals was written twice. In the tests, the wait for a paused instance stood in domain_cluster three times and again in resubmission_run, with a copy of the pause's end.

Change: job_cancellation holds the three members; one predicate serves both expiries; domain_cluster::when_resumed and schedule_tick serve all waits.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -36,6 +36,18 @@
     std::vector<task_record> tasks;
 };
 
+/// @brief Cancellation of a job whose caller no longer waits or whose instance
+/// is lost.
+struct job_cancellation
+{
+    /// Time at which the job's runs are stopped.
+    time_point at{};
+    /// Time until which leases may keep the job's runs alive.
+    time_point lease_limit{};
+    /// Whether the only cause is that the job's instance seems lost.
+    bool origin_lost = false;
+};
+
 struct job_record
 {
     leased_job job;
@@ -57,14 +69,8 @@
     /// Time at which the runs on executors that are not claimed have ended,
     /// also if an earlier owner is alive.
     time_point unknown_runs_end{};
-    /// Set when the caller has disconnected or its instance is lost; the job's
-    /// runs are stopped at this time.
-    std::optional<time_point> cancel_at;
-    /// Set when the caller has disconnected or its instance is lost: time until
-    /// which leases may keep the job's runs alive.
-    std::optional<time_point> lease_limit;
-    /// Whether the job is only cancelled because its instance seems lost.
-    bool origin_lost = false;
+    /// Set when the caller has disconnected or its instance is lost.
+    std::optional<job_cancellation> cancellation;
 
     /// Whether a task may have started.
     [[nodiscard]] bool started() const
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -259,15 +259,18 @@
         state_.end_job(job, job_outcome::rejected, {}, "caller_left", context);
         return;
     }
-    record.origin_lost = false;
     // The runs may still serve a resubmission by the caller, so they continue
     // for some time, but their leases end before it may arrive elsewhere.
-    auto const cancel_at = now + state_.limits.resubmission_delay / 2;
-    auto const lease_limit = now + state_.lease_without_caller();
-    record.cancel_at =
-        std::min(record.cancel_at.value_or(cancel_at), cancel_at);
-    record.lease_limit =
-        std::min(record.lease_limit.value_or(lease_limit), lease_limit);
+    detail::job_cancellation withdrawn{now +
+                                           state_.limits.resubmission_delay / 2,
+                                       now + state_.lease_without_caller()};
+    if (auto const& earlier = record.cancellation)
+    {
+        withdrawn.at = std::min(withdrawn.at, earlier->at);
+        withdrawn.lease_limit =
+            std::min(withdrawn.lease_limit, earlier->lease_limit);
+    }
+    record.cancellation = withdrawn;
 }
 
 void job_scheduler::origin_lost(instance_id origin, time_point now)
@@ -280,11 +283,9 @@
         (heard == state_.heard.end() ? now : heard->second);
     for (auto& [id, job] : state_.jobs)
     {
-        if (job.origin == origin && !job.cancel_at)
+        if (job.origin == origin && !job.cancellation)
         {
-            job.cancel_at = until;
-            job.lease_limit = lease_limit;
-            job.origin_lost = true;
+            job.cancellation = {until, lease_limit, true};
         }
     }
 }
@@ -299,9 +300,10 @@
     auto const until = now + lost_origin_wait(state_.limits);
     for (auto& [id, job] : state_.jobs)
     {
-        if (job.origin == origin && job.origin_lost)
+        if (job.origin == origin && job.cancellation &&
+            job.cancellation->origin_lost)
         {
-            job.cancel_at = until;
+            job.cancellation->at = until;
         }
     }
 }
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -124,9 +124,7 @@
     {
         known->second.origin = origin;
         known->second.sequence = offered.sequence;
-        known->second.cancel_at.reset();
-        known->second.lease_limit.reset();
-        known->second.origin_lost = false;
+        known->second.cancellation.reset();
         if (may_run_elsewhere && !known->second.inherited)
         {
             await_claims(known->second, context.now);
@@ -377,16 +375,12 @@
 
 void scheduler_state::expire_jobs(scheduler_context& context)
 {
-    std::erase_if(retained_verdicts,
-                  [&context](auto const& entry)
-                  {
-                      return entry.second.expires_at <= context.now;
-                  });
-    std::erase_if(withdrawn,
-                  [&context](auto const& entry)
-                  {
-                      return entry.second.expires_at <= context.now;
-                  });
+    auto const has_expired = [&context](auto const& entry)
+    {
+        return entry.second.expires_at <= context.now;
+    };
+    std::erase_if(retained_verdicts, has_expired);
+    std::erase_if(withdrawn, has_expired);
     std::erase_if(done_tasks,
                   [&context](auto const& entry)
                   {
@@ -411,7 +405,7 @@
         auto const finish =
             context.now +
             scale_duration(job.critical_path_time, fastest * best_case_factor);
-        if (job.cancel_at && *job.cancel_at <= context.now)
+        if (job.cancellation && job.cancellation->at <= context.now)
         {
             ended.emplace_back(id, "caller_left");
         }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -64,7 +64,9 @@
     {
         return time_point::max();
     }
-    auto const limit = job->second.lease_limit.value_or(time_point::max());
+    auto const& cancellation = job->second.cancellation;
+    auto const limit =
+        cancellation ? cancellation->lease_limit : time_point::max();
     auto const origin = heard.find(job->second.origin);
     return origin == heard.end()
                ? limit
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -113,7 +113,7 @@
     std::vector<job_record*> waiting;
     for (auto& [id, job] : jobs)
     {
-        if (!job.awaits_claims && !job.cancel_at && has_waiting(job))
+        if (!job.awaits_claims && !job.cancellation && has_waiting(job))
         {
             waiting.push_back(&job);
         }
--- a/tests/support/domain_cluster.cpp
+++ b/tests/support/domain_cluster.cpp
@@ -80,11 +80,7 @@
                     apply(origin, out);
                 });
     };
-    fleet_.schedule(milliseconds{node},
-                    [this, node]
-                    {
-                        tick(node);
-                    });
+    schedule_tick(node, milliseconds{node});
 }
 
 void domain_cluster::reset(std::size_t left, std::size_t right)
@@ -103,18 +99,32 @@
     auto const id = nodes_[peer]->key.instance;
     ++state.resets[peer];
     state.disconnected.insert(peer);
-    auto const handle = [this, node, id, ended]
-    {
-        auto& loser = *nodes_[node];
-        loser.ownership.lost(id, ended, fleet_.now());
-        loser.executors.scheduler.origin_lost(id, fleet_.now());
-    };
-    if (is_paused(node))
+    when_resumed(node,
+                 [this, node, id, ended]
+                 {
+                     auto& loser = *nodes_[node];
+                     loser.ownership.lost(id, ended, fleet_.now());
+                     loser.executors.scheduler.origin_lost(id, fleet_.now());
+                 });
+}
+
+bool domain_cluster::is_down(std::size_t node) const
+{
+    return nodes_[node]->down;
+}
+
+void domain_cluster::when_resumed(std::size_t node, std::function<void()> work)
+{
+    if (!is_paused(node))
     {
-        fleet_.schedule(state.paused_until - fleet_.now(), handle);
+        work();
         return;
     }
-    handle();
+    fleet_.schedule(nodes_[node]->paused_until - fleet_.now(),
+                    [this, node, work = std::move(work)]
+                    {
+                        when_resumed(node, work);
+                    });
 }
 
 void domain_cluster::pause(std::size_t node, duration time)
@@ -249,11 +259,11 @@
     }
     if (is_paused(to))
     {
-        fleet_.schedule(receiver.paused_until - fleet_.now(),
-                        [this, from, to, sent_at, resets, work]
-                        {
-                            receive(from, to, sent_at, resets, work);
-                        });
+        when_resumed(to,
+                     [this, from, to, sent_at, resets, work]
+                     {
+                         receive(from, to, sent_at, resets, work);
+                     });
         return;
     }
     receiver.executors.scheduler.origin_heard(nodes_[from]->key.instance,
@@ -266,14 +276,7 @@
     auto& state = *nodes_[node];
     if (is_paused(node))
     {
-        fleet_.schedule(state.paused_until - fleet_.now(),
-                        [this, node, process = state.key.incarnation]
-                        {
-                            if (nodes_[node]->key.incarnation == process)
-                            {
-                                tick(node);
-                            }
-                        });
+        schedule_tick(node, state.paused_until - fleet_.now());
         return;
     }
     auto const now = fleet_.now();
@@ -295,8 +298,13 @@
     state.gateway.tick(owners(state), now, out);
     apply(node, out);
     send_heartbeats(node);
-    fleet_.schedule(tick_interval,
-                    [this, node, process = state.key.incarnation]
+    schedule_tick(node, tick_interval);
+}
+
+void domain_cluster::schedule_tick(std::size_t node, duration delay)
+{
+    fleet_.schedule(delay,
+                    [this, node, process = nodes_[node]->key.incarnation]
                     {
                         if (nodes_[node]->key.incarnation == process)
                         {
--- a/tests/support/domain_cluster.hpp
+++ b/tests/support/domain_cluster.hpp
@@ -54,7 +54,14 @@
     /// meanwhile after the given time.
     /// @pre the instance is not paused
     void pause(std::size_t node, core::duration time);
+    /// @brief Returns whether the process of an instance is paused or has
+    /// ended.
     [[nodiscard]] bool is_paused(std::size_t node) const;
+    /// @brief Returns whether the process of an instance has ended and the next
+    /// one has not started yet.
+    [[nodiscard]] bool is_down(std::size_t node) const;
+    /// @brief Calls a function now, or when the instance is no longer paused.
+    void when_resumed(std::size_t node, std::function<void()> work);
     /// @brief Ends the process of an instance; a new one, which knows nothing,
     /// starts after the given time. Answers to the callers of the earlier one
     /// are lost, and the instance counts as paused until then.
@@ -106,6 +113,8 @@
     void resume(std::size_t node, core::duration paused);
     void lose_connection(std::size_t node, std::size_t peer, bool ended);
     void tick(std::size_t node);
+    /// Schedules the next tick of the present process.
+    void schedule_tick(std::size_t node, core::duration delay);
     void decide_ownership(std::size_t node);
     void reconnect(std::size_t left, std::size_t right);
     void send_heartbeats(std::size_t node);
--- a/tests/support/resubmission_run.cpp
+++ b/tests/support/resubmission_run.cpp
@@ -38,7 +38,6 @@
     , faults_(faults)
     , load_(load)
     , cluster_(domain_count, load.instances_per_domain, executors_per_domain)
-    , paused_until_(cluster_.size())
     , processes_(cluster_.size(), incarnation{1})
 {
     cluster_.on_answer = [this](answer_job const& answer)
@@ -95,11 +94,16 @@
     auto const node = pick(cluster_.size());
     attempts_[request] = {id, node, processes_[node]};
     ++attempts_of_[id];
-    when_resumed(node,
-                 [this, request]
-                 {
-                     submit(request);
-                 });
+    if (cluster_.is_down(node))
+    {
+        leave(request);
+        return;
+    }
+    cluster_.when_resumed(node,
+                          [this, request]
+                          {
+                              submit(request);
+                          });
     cluster_.fleet().schedule(caller_wait,
                               [this, request]
                               {
@@ -115,12 +119,6 @@
     {
         return;
     }
-    if (cluster_.is_paused(sent.node))
-    {
-        // The process is being restarted.
-        leave(request);
-        return;
-    }
     sent.submitted = true;
     cluster_.submit(sent.node, request, jobs_.at(sent.job));
 }
@@ -135,15 +133,16 @@
     send_again(sent.job);
     if (sent.submitted)
     {
-        when_resumed(sent.node,
-                     [this, request]
-                     {
-                         auto const& left = attempts_.at(request);
-                         if (processes_[left.node] == left.process)
-                         {
-                             cluster_.disconnect_caller(left.node, request);
-                         }
-                     });
+        cluster_.when_resumed(sent.node,
+                              [this, request]
+                              {
+                                  auto const& left = attempts_.at(request);
+                                  if (processes_[left.node] == left.process)
+                                  {
+                                      cluster_.disconnect_caller(left.node,
+                                                                 request);
+                                  }
+                              });
     }
 }
 
@@ -241,7 +240,6 @@
 {
     if (!cluster_.is_paused(node) && time > duration{})
     {
-        paused_until_[node] = cluster_.fleet().now() + time;
         cluster_.pause(node, time);
     }
 }
@@ -265,20 +263,4 @@
     }
 }
 
-void resubmission_run::when_resumed(std::size_t node,
-                                    std::function<void()> work)
-{
-    auto const now = cluster_.fleet().now();
-    if (now >= paused_until_[node])
-    {
-        work();
-        return;
-    }
-    cluster_.fleet().schedule(paused_until_[node] - now,
-                              [this, node, work = std::move(work)]
-                              {
-                                  when_resumed(node, work);
-                              });
-}
-
 } // namespace goldcrestgate::tests
--- a/tests/support/resubmission_run.hpp
+++ b/tests/support/resubmission_run.hpp
@@ -3,7 +3,6 @@
 #include "support/domain_cluster.hpp"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -83,15 +82,12 @@
     void inject_fault();
     void pause(std::size_t node, core::duration time);
     void restart(std::size_t node);
-    /// Calls a function now, or when the instance is no longer paused.
-    void when_resumed(std::size_t node, std::function<void()> work);
 
     std::string name_;
     std::mt19937_64 random_;
     resubmission_faults faults_;
     resubmission_load load_;
     domain_cluster cluster_;
-    std::vector<core::time_point> paused_until_;
     std::vector<core::incarnation> processes_;
     std::map<core::client_job_id, core::leased_job> jobs_;
     std::map<core::client_job_id, int> attempts_of_;
