Log what a possible crash tells about a task

They now name the proof of the run (accepted, listed, unconfirmed), the process, and how many executors without a run of the job crashed within 250 ms. No decision is changed.

--- a/include/goldcrestgate/core/leasing/detail/executor_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/executor_record.hpp
@@ -23,6 +23,34 @@
     stop_accepted
 };
 
+/// @brief A run that an executor may have had when its process ended.
+struct possible_crash
+{
+    task_run run;
+    /// How the executor showed that it had the run, see @ref crash_evidence.
+    std::string_view start{};
+    /// Process that may have had the run; 0 if it is not known.
+    std::uint64_t incarnation = 0;
+    /// Time of the last sign of the run.
+    time_point seen_at{};
+    /// Whether the executor had no other run.
+    bool alone = false;
+};
+
+/// @brief End of an executor's process.
+struct process_end
+{
+    time_point noticed_at{};
+    /// Start of the next process, once it has answered.
+    std::optional<time_point> next_start{};
+
+    /// Latest time at which the process may have ended.
+    [[nodiscard]] time_point latest() const
+    {
+        return next_start.value_or(noticed_at);
+    }
+};
+
 /// @brief A run that may be on an executor.
 struct run_record
 {
@@ -55,18 +83,9 @@
     /// Whether an executor may have crashed under the task; nothing is started
     /// beside the run.
     bool isolated = false;
-    /// Whether an earlier process of the executor may have had the run.
-    bool sent_before_restart = false;
-    /// Whether the earlier process had no other run.
-    bool alone_before_restart = false;
-};
-
-/// @brief A run that ended with the lease of a silent executor, which may have
-/// crashed.
-struct unconfirmed_crash
-{
-    task_run run;
-    bool alone = false;
+    /// Set if the executor has restarted since the start was sent, and an
+    /// earlier process may have had the run.
+    std::optional<possible_crash> before_restart;
 };
 
 /// @brief Amounts that an executor has refused for lack of capacity, although
@@ -139,7 +158,11 @@
     resource_amounts used;
     std::optional<capacity_refusal> refusal;
     std::vector<run_record> runs;
-    std::vector<unconfirmed_crash> unconfirmed_crashes;
+    /// Runs that ended with the lease of the silent executor, which may have
+    /// crashed.
+    std::vector<possible_crash> possible_crashes;
+    /// End of the latest process that ended.
+    std::optional<process_end> last_process_end;
     executor_health health;
 
     /// Capacity that no run uses.
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -319,12 +319,18 @@
     [[nodiscard]] static bool
     may_have_crashed_under(executor_record const& executor,
                            run_record const& run);
+    [[nodiscard]] static possible_crash
+    make_possible_crash(executor_record const& executor, run_record const& run,
+                        bool alone);
+    /// Describes a possible crash for the log.
+    [[nodiscard]] crash_evidence evidence_of(executor_record const& executor,
+                                             possible_crash const& crash) const;
     /// Counts a certain crash.
-    void count_crash(executor_record const& executor, task_run const& run,
-                     bool alone, scheduler_context& context);
+    void count_crash(executor_record const& executor,
+                     possible_crash const& crash, scheduler_context& context);
     /// Confirms one suspected crash; ends the job if it identifies the task.
-    void confirm_crash(executor_record const& executor, task_run const& run,
-                       bool alone, scheduler_context& context);
+    void confirm_crash(executor_record const& executor,
+                       possible_crash const& crash, scheduler_context& context);
     /// Ends the job of a task that crashes its executors.
     void end_crash_looping_job(client_job_id id, scheduler_context& context);
     /// Counts a possible crash under each waiting task of an inherited job if
--- a/include/goldcrestgate/core/leasing/scheduler_actions.hpp
+++ b/include/goldcrestgate/core/leasing/scheduler_actions.hpp
@@ -47,6 +47,21 @@
     std::uint32_t other_execution = 0;
 };
 
+/// @brief What a possible crash of an executor tells about the task of one of
+/// its runs.
+struct crash_evidence
+{
+    /// How the executor showed that it had the run, as a stable snake_case
+    /// word: accepted (it answered the start), listed, or unconfirmed.
+    std::string_view start{};
+    /// Process that had the run; 0 if it is not known.
+    std::uint64_t incarnation = 0;
+    /// Executors without a run of the job that crashed in the same moment.
+    std::uint64_t other_crashes = 0;
+    /// Executors without a run of the job on an executor that crashed then.
+    std::uint64_t other_executors = 0;
+};
+
 /// @brief Returns why a late run counted as ended, `not_known` if the owner did
 /// not know it.
 /// @par Thread safety
@@ -81,6 +96,8 @@
     std::optional<std::uint64_t> incarnation{};
     /// Set if the event is a late run.
     std::optional<late_run> late{};
+    /// Set if the event is a possible crash.
+    std::optional<crash_evidence> crash{};
 };
 
 /// Action that a scheduler requests.
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -42,6 +42,15 @@
     }
 }
 
+void add_crash(log_line& line, core::crash_evidence const& crash)
+{
+    line.text("start", crash.start)
+        .number("incarnation", static_cast<std::int64_t>(crash.incarnation))
+        .number("other_crashes", static_cast<std::int64_t>(crash.other_crashes))
+        .number("other_executors",
+                static_cast<std::int64_t>(crash.other_executors));
+}
+
 } // namespace
 
 std::string format_instance(core::instance_id id)
@@ -98,6 +107,10 @@
     {
         add_late_run(line, *log_event.late, name_of);
     }
+    if (log_event.crash)
+    {
+        add_crash(line, *log_event.crash);
+    }
     return line.number("slack_ms", to_ms(log_event.slack))
         .number("run_ms", to_ms(log_event.run_time))
         .number("count", static_cast<std::int64_t>(log_event.count))
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -103,7 +103,7 @@
         executor.poll.reset();
         executor.runs.clear();
         executor.unanswered_starts.clear();
-        executor.unconfirmed_crashes.clear();
+        executor.possible_crashes.clear();
         executor.used = {};
         executor.lease_expires_at = now + state_.lease_expiry_time();
     }
@@ -219,7 +219,7 @@
     }
     executor.listed = false;
     bool const in_use = !executor.runs.empty() ||
-                        !executor.unconfirmed_crashes.empty() ||
+                        !executor.possible_crashes.empty() ||
                         !executor.unanswered_starts.empty();
     if (!state_.owner || !in_use)
     {
--- a/src/core/leasing/scheduler_crashes.cpp
+++ b/src/core/leasing/scheduler_crashes.cpp
@@ -9,13 +9,20 @@
 namespace
 {
 
+/// Crashes within this time of each other count as simultaneous.
+constexpr duration simultaneous_crash_time = std::chrono::milliseconds{250};
+
 scheduler_log_event make_crash_event(std::string_view event,
-                                     executor_id executor, task_run const& run,
-                                     bool alone)
+                                     executor_id executor,
+                                     possible_crash const& crash,
+                                     crash_evidence const& evidence)
 {
-    scheduler_log_event log_event{
-        .event = event, .job = run.task.job, .run = run, .executor = executor};
-    log_event.reason = alone ? "only_run" : "shared_executor";
+    scheduler_log_event log_event{.event = event,
+                                  .job = crash.run.task.job,
+                                  .run = crash.run,
+                                  .executor = executor};
+    log_event.reason = crash.alone ? "only_run" : "shared_executor";
+    log_event.crash = evidence;
     return log_event;
 }
 
@@ -35,6 +42,59 @@
 
 } // namespace
 
+possible_crash
+scheduler_state::make_possible_crash(executor_record const& executor,
+                                     run_record const& run, bool alone)
+{
+    possible_crash crash;
+    crash.run = run.run;
+    crash.incarnation = executor.description.incarnation;
+    crash.alone = alone;
+    crash.seen_at = std::max(run.confirmed_at, run.listed_at);
+    if (run.listed_at != time_point{})
+    {
+        crash.start = "listed";
+    }
+    else
+    {
+        crash.start =
+            run.confirmed_at != time_point{} ? "accepted" : "unconfirmed";
+    }
+    return crash;
+}
+
+crash_evidence scheduler_state::evidence_of(executor_record const& executor,
+                                            possible_crash const& crash) const
+{
+    crash_evidence evidence;
+    evidence.start = crash.start;
+    evidence.incarnation = crash.incarnation;
+    if (!executor.last_process_end)
+    {
+        return evidence;
+    }
+    auto const ended = executor.last_process_end->latest();
+    for (auto const& [id, other] : executors)
+    {
+        bool const has_job = std::ranges::any_of(other.runs,
+                                                 [&crash](run_record const& run)
+                                                 {
+                                                     return run.run.task.job ==
+                                                            crash.run.task.job;
+                                                 });
+        if (id == executor.id || has_job)
+        {
+            continue;
+        }
+        ++evidence.other_executors;
+        bool const crashed = other.last_process_end &&
+                             std::chrono::abs(other.last_process_end->latest() -
+                                              ended) <= simultaneous_crash_time;
+        evidence.other_crashes += crashed ? 1 : 0;
+    }
+    return evidence;
+}
+
 void scheduler_state::suspect_crash(executor_record& executor,
                                     std::span<run_record const> runs,
                                     scheduler_context& context)
@@ -44,9 +104,10 @@
     {
         auto const& task = run.run.task;
         crashes.suspect(task, alone, context.now);
-        executor.unconfirmed_crashes.push_back({run.run, alone});
-        auto log_event =
-            make_crash_event("crash_suspected", executor.id, run.run, alone);
+        auto const crash = make_possible_crash(executor, run, alone);
+        executor.possible_crashes.push_back(crash);
+        auto log_event = make_crash_event("crash_suspected", executor.id, crash,
+                                          evidence_of(executor, crash));
         log_event.count = crashes.counts(task).suspected.crashes;
         context.out.emplace_back(log_event);
         if (crashes.is_withheld(task))
@@ -60,46 +121,46 @@
 void scheduler_state::confirm_crashes(executor_record& executor,
                                       scheduler_context& context)
 {
-    for (auto const& [run, alone] :
-         std::exchange(executor.unconfirmed_crashes, {}))
+    for (auto const& crash : std::exchange(executor.possible_crashes, {}))
     {
-        confirm_crash(executor, run, alone, context);
+        confirm_crash(executor, crash, context);
     }
 }
 
 void scheduler_state::refute_crashes(executor_record& executor,
                                      scheduler_context& context)
 {
-    for (auto const& [run, alone] :
-         std::exchange(executor.unconfirmed_crashes, {}))
+    for (auto const& crash : std::exchange(executor.possible_crashes, {}))
     {
-        crashes.refute(run.task, alone);
-        auto log_event =
-            make_crash_event("crash_refuted", executor.id, run, alone);
-        log_event.count = crashes.counts(run.task).suspected.crashes;
+        crashes.refute(crash.run.task, crash.alone);
+        auto log_event = make_crash_event("crash_refuted", executor.id, crash,
+                                          evidence_of(executor, crash));
+        log_event.count = crashes.counts(crash.run.task).suspected.crashes;
         context.out.emplace_back(log_event);
     }
 }
 
 void scheduler_state::count_crash(executor_record const& executor,
-                                  task_run const& run, bool alone,
+                                  possible_crash const& crash,
                                   scheduler_context& context)
 {
-    crashes.suspect(run.task, alone, context.now);
-    confirm_crash(executor, run, alone, context);
+    crashes.suspect(crash.run.task, crash.alone, context.now);
+    confirm_crash(executor, crash, context);
 }
 
 void scheduler_state::confirm_crash(executor_record const& executor,
-                                    task_run const& run, bool alone,
+                                    possible_crash const& crash,
                                     scheduler_context& context)
 {
-    crashes.confirm(run.task, alone, context.now);
-    auto log_event = make_crash_event("crash_counted", executor.id, run, alone);
-    log_event.count = crashes.counts(run.task).confirmed.crashes;
+    auto const& task = crash.run.task;
+    crashes.confirm(task, crash.alone, context.now);
+    auto log_event = make_crash_event("crash_counted", executor.id, crash,
+                                      evidence_of(executor, crash));
+    log_event.count = crashes.counts(task).confirmed.crashes;
     context.out.emplace_back(log_event);
-    if (crashes.is_crash_looping(run.task))
+    if (crashes.is_crash_looping(task))
     {
-        end_crash_looping_job(run.task.job, context);
+        end_crash_looping_job(task.job, context);
     }
 }
 
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -215,6 +215,12 @@
     }
     refute_crashes(executor, context);
     record_clock(executor, answer.clock, context.now);
+    if (executor.last_process_end && !executor.last_process_end->next_start &&
+        answer.clock)
+    {
+        executor.last_process_end->next_start =
+            context.now - std::chrono::milliseconds{answer.clock->value()};
+    }
     record_accepted_order(executor, answer.order);
     executor.unresponsive = false;
     executor.health.record_answer();
@@ -321,7 +327,7 @@
         if (is_listed)
         {
             run.listed_at = context.now;
-            run.sent_before_restart = false;
+            run.before_restart.reset();
         }
         if (is_listed && run.phase == run_phase::starting)
         {
@@ -338,9 +344,9 @@
     {
         remove_run(executor, run.run);
         task_ended(executor, run, run_end::lease_expired, context);
-        if (run.sent_before_restart)
+        if (run.before_restart)
         {
-            count_crash(executor, run.run, run.alone_before_restart, context);
+            count_crash(executor, *run.before_restart, context);
         }
     }
     for (auto const& entry : answer.running)
@@ -432,9 +438,9 @@
         task_ended(executor, run,
                    lease_expired ? run_end::lease_expired : run_end::stopped,
                    context);
-        if (run.sent_before_restart && !may_have_crashed)
+        if (run.before_restart && !may_have_crashed)
         {
-            count_crash(executor, run.run, run.alone_before_restart, context);
+            count_crash(executor, *run.before_restart, context);
         }
     }
 }
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -375,6 +375,19 @@
     log_event.change = {news.source, executor.description.incarnation,
                         news.incarnation, executor.runs.size()};
     context.out.emplace_back(log_event);
+    // An executor that has left after draining has not crashed.
+    if (!executor.description.draining)
+    {
+        for (auto& run : executor.runs)
+        {
+            run.before_restart.reset();
+            if (may_have_crashed_under(executor, run))
+            {
+                run.before_restart = make_possible_crash(
+                    executor, run, executor.runs.size() == 1);
+            }
+        }
+    }
     executor.description.incarnation = news.incarnation;
     executor.claimed = false;
     executor.poll.reset();
@@ -383,15 +396,7 @@
     executor.granted_until = {};
     executor.acknowledged = 0;
     executor.unresponsive = false;
-    // An executor that has left after draining has not crashed.
-    if (!executor.description.draining)
-    {
-        for (auto& run : executor.runs)
-        {
-            run.sent_before_restart = may_have_crashed_under(executor, run);
-            run.alone_before_restart = executor.runs.size() == 1;
-        }
-    }
+    executor.last_process_end = process_end{context.now};
     confirm_crashes(executor, context);
     executor.last_uncertain_order = order_id{last_order};
     // The new process may have carried out a start, also of an earlier owner,
@@ -451,6 +456,7 @@
     executor.granted_until = {};
     executor.acknowledged = 0;
     executor.unresponsive = false;
+    executor.last_process_end = process_end{context.now};
     for (auto const& run : runs)
     {
         note_given_up(executor, run, "executor_lost", context.now);
@@ -465,7 +471,9 @@
     {
         if (may_have_crashed_under(executor, run))
         {
-            count_crash(executor, run.run, runs.size() == 1, context);
+            count_crash(executor,
+                        make_possible_crash(executor, run, runs.size() == 1),
+                        context);
         }
     }
 }
--- a/tests/unit/entry_log.cpp
+++ b/tests/unit/entry_log.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST_SUITE(entry_log_test);
     CPPUNIT_TEST(late_run_shows_both_runs);
     CPPUNIT_TEST(late_run_of_an_unknown_start_claims_nothing);
+    CPPUNIT_TEST(crash_shows_its_evidence);
     CPPUNIT_TEST(listed_executor_shows_its_process);
     CPPUNIT_TEST(late_runs_and_losses_are_counted_by_source);
     CPPUNIT_TEST_SUITE_END();
@@ -73,6 +74,20 @@
         CPPUNIT_ASSERT_EQUAL(3, fields.at("other_execution").get<int>());
     }
 
+    // Guards against crash lines that do not tell whether the run was there
+    // and what else crashed.
+    void crash_shows_its_evidence()
+    {
+        scheduler_log_event log_event{.event = "crash_counted"};
+        log_event.crash = {"accepted", 7, 3, 40};
+        auto const fields = parse(app::to_log_line(log_event, name_of));
+        CPPUNIT_ASSERT_EQUAL(std::string{"accepted"},
+                             fields.at("start").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(7, fields.at("incarnation").get<int>());
+        CPPUNIT_ASSERT_EQUAL(3, fields.at("other_crashes").get<int>());
+        CPPUNIT_ASSERT_EQUAL(40, fields.at("other_executors").get<int>());
+    }
+
     // Guards against a time or an executor in the line that nobody has seen.
     void late_run_of_an_unknown_start_claims_nothing()
     {
