--- a/include/goldcrestgate/core/leasing/crash_ledger.hpp
+++ b/include/goldcrestgate/core/leasing/crash_ledger.hpp
@@ -16,79 +16,111 @@
 /// Maximum number of tasks in one report of crashes.
 inline constexpr std::size_t max_reported_crashes = 256;
 
-/// @brief Number of executors that crashed while they had a run of a task.
-struct crash_count
+/// Maximum number of crashes that are remembered for one task.
+inline constexpr std::size_t max_observed_crashes = 16;
+
+/// What is known of a crash under a run. Of two opinions the later one in this
+/// order holds.
+enum class crash_state : std::uint8_t
 {
-    std::uint32_t crashes = 0;
-    /// Those on which the task had the only run.
-    std::uint32_t alone = 0;
+    /// The executor is silent, or the run may not have been there.
+    suspected,
+    /// The executor was only silent.
+    refuted,
+    /// Many executors crashed in the same moment, whatever they ran.
+    shared,
+    /// The process that had the run ended, and few others did.
+    confirmed
+};
 
-    friend bool operator==(crash_count const&, crash_count const&) = default;
+/// @brief A crash of an executor under one run of a task.
+struct crash_observation
+{
+    /// Identifies the run and the process that had it; equal at all owners.
+    std::uint64_t id = 0;
+    crash_state state = crash_state::suspected;
+    /// Whether the task had the only run on the executor.
+    bool alone = false;
+
+    friend bool operator==(crash_observation const&,
+                           crash_observation const&) = default;
 };
 
 /// @brief Crashes under one task, sent to possible successors of an owner.
 struct task_crashes
 {
     leased_task task;
-    /// Crashes that are not refuted, including the confirmed ones.
-    crash_count suspected;
-    /// Crashes of executors that are known to have lost their runs.
-    crash_count confirmed;
+    std::vector<crash_observation> observations;
 
     friend bool operator==(task_crashes const&, task_crashes const&) = default;
 };
 
+/// @brief Number of executors that crashed while they had a run of a task.
+struct crash_count
+{
+    std::uint32_t crashes = 0;
+    /// Those on which the task had the only run.
+    std::uint32_t alone = 0;
+
+    friend bool operator==(crash_count const&, crash_count const&) = default;
+};
+
 /// @brief Counts the executors that crash under each task.
 ///
-/// A crash shows in the executor's silence first and is confirmed or refuted
-/// when the executor answers again. All runs of a crashed executor are suspects
-/// until a task was the only one on a crashed executor.
+/// A crash is suspected at first, and later confirmed, refuted or found to be
+/// shared with many executors. Each crash under a run has an id, so that it
+/// counts once although several owners report it. Only confirmed crashes
+/// identify a task that crashes its executors; the others delay its starts.
 ///
 /// @par Thread safety
 /// Not safe; the owner of the object serializes calls.
 class crash_ledger
 {
 public:
-    /// @brief Counts a crash that is not confirmed yet.
-    /// @param alone whether the task had the only run on the executor
-    void suspect(leased_task const& task, bool alone, time_point now);
-
-    /// @brief Confirms a crash.
-    /// @pre the crash was counted by @ref suspect
-    void confirm(leased_task const& task, bool alone, time_point now);
+    /// @brief Records a crash, or a new state of a known one.
+    /// @return whether the state has changed
+    bool record(leased_task const& task, crash_observation const& observation,
+                time_point now);
 
-    /// @brief Takes back a crash, as the executor was only silent.
-    /// @pre the crash was counted by @ref suspect and not confirmed
-    void refute(leased_task const& task, bool alone);
+    /// @brief Merges the crashes that another owner has recorded. The result
+    /// does not depend on the order and the number of the reports.
+    void adopt(std::span<task_crashes const> reported, time_point now);
 
-    /// @brief Merges the counts of another owner.
-    void adopt(std::span<task_crashes const> counts, time_point now);
+    /// @brief Returns whether a crash is recorded.
+    [[nodiscard]] bool contains(leased_task const& task,
+                                std::uint64_t id) const;
 
-    /// @brief Drops the counts of a task that is done.
+    /// @brief Drops the crashes of a task that is done.
     void forget(leased_task const& task);
 
-    /// @brief Drops the counts that have not changed for a long time, except
-    /// those of open jobs.
+    /// @brief Drops the crashes of tasks that have not changed for a long time,
+    /// except those of open jobs.
     void expire(time_point now,
                 std::function<bool(client_job_id)> const& is_open);
 
-    /// @brief Returns whether an executor may have crashed under the task.
+    /// @brief Returns whether an executor may have crashed under the task; the
+    /// task then has no run beside it.
     [[nodiscard]] bool is_suspect(leased_task const& task) const;
 
-    /// @brief Returns whether the task must not start, as it crashes its
-    /// executors if the suspected crashes are confirmed.
-    [[nodiscard]] bool is_withheld(leased_task const& task) const;
+    /// @brief Returns whether the task must not start now. The time without
+    /// starts doubles with each further crash.
+    [[nodiscard]] bool is_withheld(leased_task const& task,
+                                   time_point now) const;
 
     /// @brief Returns whether @ref is_withheld holds for a task of the job.
-    [[nodiscard]] bool withholds_task_of(client_job_id job) const;
+    [[nodiscard]] bool withholds_task_of(client_job_id job,
+                                         time_point now) const;
 
     /// @brief Returns whether the task certainly crashes its executors.
     [[nodiscard]] bool is_crash_looping(leased_task const& task) const;
 
-    /// @brief Returns the counts of a task; 0 for an unknown one.
-    [[nodiscard]] task_crashes counts(leased_task const& task) const;
+    /// @brief Returns the confirmed crashes of a task.
+    [[nodiscard]] crash_count confirmed(leased_task const& task) const;
 
-    /// @brief Returns the time of the last counted crash of a task, if any.
+    /// @brief Returns the suspected and confirmed crashes of a task.
+    [[nodiscard]] crash_count suspected(leased_task const& task) const;
+
+    /// @brief Returns the time of the last change of a task's crashes, if any.
     [[nodiscard]] std::optional<time_point>
     changed_at(leased_task const& task) const;
 
@@ -97,8 +129,9 @@
     [[nodiscard]] std::vector<leased_task>
     crash_looping_tasks(client_job_id job) const;
 
-    /// @brief Returns the counts that have changed lately, and those of open
-    /// jobs, at most @ref max_reported_crashes.
+    /// @brief Returns the crashes of tasks that have changed lately, and of
+    /// open jobs, at most @ref max_reported_crashes tasks; those under
+    /// suspicion first.
     [[nodiscard]] std::vector<task_crashes>
     report(time_point now,
            std::function<bool(client_job_id)> const& is_open) const;
@@ -106,11 +139,14 @@
 private:
     struct entry
     {
-        crash_count suspected;
-        crash_count confirmed;
+        std::vector<crash_observation> observations;
         time_point changed_at{};
     };
 
+    static bool merge(entry& known, crash_observation const& observation,
+                      time_point now);
+    [[nodiscard]] static bool is_withheld(entry const& known, time_point now);
+
     std::map<leased_task, entry> entries_;
 };
 
--- a/include/goldcrestgate/core/leasing/detail/executor_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/executor_record.hpp
@@ -27,6 +27,8 @@
 struct possible_crash
 {
     task_run run;
+    /// Identifies the run and the process, see @ref crash_observation.
+    std::uint64_t id = 0;
     /// How the executor showed that it had the run, see @ref crash_evidence.
     std::string_view start{};
     /// Process that may have had the run; 0 if it is not known.
@@ -35,6 +37,14 @@
     time_point seen_at{};
     /// Whether the executor had no other run.
     bool alone = false;
+    /// Whether the task was a suspect already.
+    bool isolated = false;
+
+    /// Whether the executor has shown that it had the run.
+    [[nodiscard]] bool is_run_confirmed() const
+    {
+        return seen_at != time_point{};
+    }
 };
 
 /// @brief End of an executor's process.
@@ -43,6 +53,8 @@
     time_point noticed_at{};
     /// Start of the next process, once it has answered.
     std::optional<time_point> next_start{};
+    /// Whether the process ran a suspect task, which explains its end.
+    bool had_suspect = false;
 
     /// Latest time at which the process may have ended.
     [[nodiscard]] time_point latest() const
@@ -51,6 +63,16 @@
     }
 };
 
+/// @brief A crash of an executor that has restarted. It is judged when the
+/// restarts of other executors are known.
+struct unsettled_crash
+{
+    executor_id executor;
+    possible_crash crash;
+    /// Time at which it is confirmed, unless it is shared.
+    time_point due{};
+};
+
 /// @brief A run that may be on an executor.
 struct run_record
 {
@@ -158,8 +180,8 @@
     resource_amounts used;
     std::optional<capacity_refusal> refusal;
     std::vector<run_record> runs;
-    /// Runs that ended with the lease of the silent executor, which may have
-    /// crashed.
+    /// Runs of a process that may have ended under them, until the executor
+    /// answers again.
     std::vector<possible_crash> possible_crashes;
     /// End of the latest process that ended.
     std::optional<process_end> last_process_end;
--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -101,6 +101,8 @@
 {
     job_verdict verdict;
     time_point expires_at{};
+    /// Attempts that the job's route allowed.
+    std::uint16_t max_attempts = 1;
 };
 
 } // namespace goldcrestgate::core::detail
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -132,6 +132,7 @@
     std::map<leased_task, time_point> done_tasks;
     speed_model speeds;
     crash_ledger crashes;
+    std::vector<unsettled_crash> unsettled_crashes;
     /// Tasks that must not start, as a start without an answer may still be
     /// carried out by a process that has accepted no later order.
     std::set<leased_task> withheld_tasks;
@@ -306,32 +307,47 @@
                       scheduler_context& context) const;
 
     // crashes
-    /// Counts a possible crash under the runs of a silent executor.
-    void suspect_crash(executor_record& executor,
-                       std::span<run_record const> runs,
-                       scheduler_context& context);
-    /// Confirms the possible crashes of an executor that has lost its runs.
-    void confirm_crashes(executor_record& executor, scheduler_context& context);
-    /// Takes back the possible crashes of an executor that was only silent.
-    void refute_crashes(executor_record& executor, scheduler_context& context);
-    /// Whether an earlier process of the executor may have had the run when it
-    /// crashed.
-    [[nodiscard]] static bool
-    may_have_crashed_under(executor_record const& executor,
-                           run_record const& run);
+    /// Describes a run that is lost if the executor's process has ended.
     [[nodiscard]] static possible_crash
     make_possible_crash(executor_record const& executor, run_record const& run,
                         bool alone);
     /// Describes a possible crash for the log.
     [[nodiscard]] crash_evidence evidence_of(executor_record const& executor,
                                              possible_crash const& crash) const;
-    /// Counts a certain crash.
-    void count_crash(executor_record const& executor,
-                     possible_crash const& crash, scheduler_context& context);
-    /// Confirms one suspected crash; ends the job if it identifies the task.
-    void confirm_crash(executor_record const& executor,
-                       possible_crash const& crash, scheduler_context& context);
-    /// Ends the job of a task that crashes its executors.
+    /// Records a possible crash until the executor answers again.
+    void suspect_crash(executor_record& executor, possible_crash const& crash,
+                       scheduler_context& context);
+    void suspect_crashes(executor_record& executor,
+                         std::span<run_record const> runs,
+                         scheduler_context& context);
+    /// Records that the executor's process has ended.
+    /// @pre its runs are still recorded
+    static void record_process_end(executor_record& executor, time_point now);
+    /// Records the start of the process that has answered, if it is a new one.
+    static void record_process_start(executor_record& executor,
+                                     poll_answer const& answer, time_point now);
+    /// Refutes the possible crashes of the process that has answered; those of
+    /// earlier processes await the news of other executors.
+    void resolve_crashes(executor_record& executor, poll_answer const& answer,
+                         scheduler_context& context);
+    /// Refutes all possible crashes of an executor whose process lives.
+    void refute_crashes(executor_record& executor, scheduler_context& context);
+    /// Judges a crash of a process before the present one.
+    void judge_crash_before_restart(executor_record& executor,
+                                    possible_crash const& crash,
+                                    scheduler_context& context);
+    void await_other_crashes(executor_record& executor,
+                             possible_crash const& crash,
+                             scheduler_context& context);
+    /// Confirms crashes, or dismisses those that many executors share. Ends the
+    /// jobs of tasks that are identified.
+    void settle_crashes(scheduler_context& context);
+    /// Records and logs the state of a crash.
+    void record_crash(executor_record const& executor,
+                      possible_crash const& crash, crash_state state,
+                      std::string_view event, scheduler_context& context);
+    /// Ends the job of tasks that crash their executors, if one of them has
+    /// crashed or failed as often as its route allows.
     void end_crash_looping_job(client_job_id id, scheduler_context& context);
     /// Counts a possible crash under each waiting task of an inherited job if
     /// an executor may have crashed without the knowledge of the earlier owner.
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -172,8 +172,8 @@
     /// the owners of other failure domains; none if this instance is no owner.
     [[nodiscard]] std::vector<task_crashes> crash_report(time_point now) const;
 
-    /// @brief Adopts crashes that another owner has counted.
-    void adopt_crashes(std::span<task_crashes const> counts, time_point now,
+    /// @brief Adopts crashes that another owner has recorded.
+    void adopt_crashes(std::span<task_crashes const> reported, time_point now,
                        std::vector<scheduler_action>& out);
 
     /// @brief Returns the executor's learned run time divided by estimated run
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -96,6 +96,8 @@
 struct JobVerdict;
 struct JobVerdictBuilder;
 
+struct CrashObservation;
+
 struct TaskCrashes;
 struct TaskCrashesBuilder;
 
@@ -546,6 +548,49 @@
   using type = Amounts;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashObservation FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint8_t state_;
+  uint8_t alone_;
+  int16_t padding0__;  int32_t padding1__;
+
+ public:
+  struct Traits;
+  CrashObservation()
+      : id_(0),
+        state_(0),
+        alone_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  CrashObservation(uint64_t _id, uint8_t _state, bool _alone)
+      : id_(flatbuffers::EndianScalar(_id)),
+        state_(flatbuffers::EndianScalar(_state)),
+        alone_(flatbuffers::EndianScalar(static_cast<uint8_t>(_alone))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint8_t state() const {
+    return flatbuffers::EndianScalar(state_);
+  }
+  bool alone() const {
+    return flatbuffers::EndianScalar(alone_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(CrashObservation, 16);
+
+struct CrashObservation::Traits {
+  using type = CrashObservation;
+};
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   struct Traits;
@@ -2629,10 +2674,7 @@
     VT_JOB = 4,
     VT_GROUP = 6,
     VT_INDEX = 8,
-    VT_SUSPECTED = 10,
-    VT_SUSPECTED_ALONE = 12,
-    VT_CONFIRMED = 14,
-    VT_CONFIRMED_ALONE = 16
+    VT_OBSERVATIONS = 18
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2643,27 +2685,16 @@
   uint16_t index() const {
     return GetField<uint16_t>(VT_INDEX, 0);
   }
-  uint32_t suspected() const {
-    return GetField<uint32_t>(VT_SUSPECTED, 0);
-  }
-  uint32_t suspected_alone() const {
-    return GetField<uint32_t>(VT_SUSPECTED_ALONE, 0);
-  }
-  uint32_t confirmed() const {
-    return GetField<uint32_t>(VT_CONFIRMED, 0);
-  }
-  uint32_t confirmed_alone() const {
-    return GetField<uint32_t>(VT_CONFIRMED_ALONE, 0);
+  const flatbuffers::Vector<const goldcrestgate::wire::detail::CrashObservation *> *observations() const {
+    return GetPointer<const flatbuffers::Vector<const goldcrestgate::wire::detail::CrashObservation *> *>(VT_OBSERVATIONS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
            VerifyField<uint16_t>(verifier, VT_GROUP, 2) &&
            VerifyField<uint16_t>(verifier, VT_INDEX, 2) &&
-           VerifyField<uint32_t>(verifier, VT_SUSPECTED, 4) &&
-           VerifyField<uint32_t>(verifier, VT_SUSPECTED_ALONE, 4) &&
-           VerifyField<uint32_t>(verifier, VT_CONFIRMED, 4) &&
-           VerifyField<uint32_t>(verifier, VT_CONFIRMED_ALONE, 4) &&
+           VerifyOffset(verifier, VT_OBSERVATIONS) &&
+           verifier.VerifyVector(observations()) &&
            verifier.EndTable();
   }
 };
@@ -2681,17 +2712,8 @@
   void add_index(uint16_t index) {
     fbb_.AddElement<uint16_t>(TaskCrashes::VT_INDEX, index, 0);
   }
-  void add_suspected(uint32_t suspected) {
-    fbb_.AddElement<uint32_t>(TaskCrashes::VT_SUSPECTED, suspected, 0);
-  }
-  void add_suspected_alone(uint32_t suspected_alone) {
-    fbb_.AddElement<uint32_t>(TaskCrashes::VT_SUSPECTED_ALONE, suspected_alone, 0);
-  }
-  void add_confirmed(uint32_t confirmed) {
-    fbb_.AddElement<uint32_t>(TaskCrashes::VT_CONFIRMED, confirmed, 0);
-  }
-  void add_confirmed_alone(uint32_t confirmed_alone) {
-    fbb_.AddElement<uint32_t>(TaskCrashes::VT_CONFIRMED_ALONE, confirmed_alone, 0);
+  void add_observations(flatbuffers::Offset<flatbuffers::Vector<const goldcrestgate::wire::detail::CrashObservation *>> observations) {
+    fbb_.AddOffset(TaskCrashes::VT_OBSERVATIONS, observations);
   }
   explicit TaskCrashesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2709,16 +2731,10 @@
     uint64_t job = 0,
     uint16_t group = 0,
     uint16_t index = 0,
-    uint32_t suspected = 0,
-    uint32_t suspected_alone = 0,
-    uint32_t confirmed = 0,
-    uint32_t confirmed_alone = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const goldcrestgate::wire::detail::CrashObservation *>> observations = 0) {
   TaskCrashesBuilder builder_(_fbb);
   builder_.add_job(job);
-  builder_.add_confirmed_alone(confirmed_alone);
-  builder_.add_confirmed(confirmed);
-  builder_.add_suspected_alone(suspected_alone);
-  builder_.add_suspected(suspected);
+  builder_.add_observations(observations);
   builder_.add_index(index);
   builder_.add_group(group);
   return builder_.Finish();
@@ -2729,6 +2745,21 @@
   static auto constexpr Create = CreateTaskCrashes;
 };
 
+inline flatbuffers::Offset<TaskCrashes> CreateTaskCrashesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t job = 0,
+    uint16_t group = 0,
+    uint16_t index = 0,
+    const std::vector<goldcrestgate::wire::detail::CrashObservation> *observations = nullptr) {
+  auto observations__ = observations ? _fbb.CreateVectorOfStructs<goldcrestgate::wire::detail::CrashObservation>(*observations) : 0;
+  return goldcrestgate::wire::detail::CreateTaskCrashes(
+      _fbb,
+      job,
+      group,
+      index,
+      observations__);
+}
+
 struct OwnerHeartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef OwnerHeartbeatBuilder Builder;
   struct Traits;
--- a/src/core/leasing/crash_ledger.cpp
+++ b/src/core/leasing/crash_ledger.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/leasing/crash_ledger.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace goldcrestgate::core
 {
@@ -8,11 +9,11 @@
 namespace
 {
 
-/// The counts of an ended job are kept for a caller that submits it again.
-constexpr duration count_retention = std::chrono::seconds{60};
+/// The crashes of an ended job are kept for a caller that submits it again.
+constexpr duration crash_retention = std::chrono::seconds{60};
 
-/// Time for which the count of an ended job is reported; heartbeats of an owner
-/// are at most 1 s apart.
+/// Time for which the crashes of an ended job are reported; heartbeats of an
+/// owner are at most 1 s apart.
 constexpr duration report_time = std::chrono::seconds{3};
 
 /// Number of crashes that identify a task which had the only run on one of the
@@ -20,78 +21,116 @@
 constexpr std::uint32_t isolated_crash_limit = 2;
 constexpr std::uint32_t crash_limit = 3;
 
+/// First time without starts of a task that would be identified if the
+/// suspected crashes were confirmed. A crashed executor is back sooner as a
+/// rule, which confirms or refutes the suspicion.
+constexpr duration suspicion_delay = std::chrono::seconds{8};
+
+/// First time without starts after the second crash that many executors share.
+constexpr duration shared_crash_delay = std::chrono::milliseconds{250};
+
+constexpr std::uint32_t max_doublings = 6;
+
 bool identifies_task(crash_count const& count)
 {
     return count.crashes >= crash_limit ||
            (count.crashes >= isolated_crash_limit && count.alone > 0);
 }
 
-void add(crash_count& count, bool alone)
+crash_count count_states(std::span<crash_observation const> observations,
+                         std::span<crash_state const> states)
 {
-    ++count.crashes;
-    count.alone += alone ? 1 : 0;
+    crash_count count;
+    for (auto const& observation : observations)
+    {
+        if (std::ranges::find(states, observation.state) != states.end())
+        {
+            ++count.crashes;
+            count.alone += observation.alone ? 1 : 0;
+        }
+    }
+    return count;
 }
 
-void merge(crash_count& count, crash_count const& other)
+crash_count count_confirmed(std::span<crash_observation const> observations)
 {
-    count.crashes = std::max(count.crashes, other.crashes);
-    count.alone = std::max(count.alone, other.alone);
+    constexpr crash_state states[] = {crash_state::confirmed};
+    return count_states(observations, states);
 }
 
-} // namespace
+crash_count count_suspected(std::span<crash_observation const> observations)
+{
+    constexpr crash_state states[] = {crash_state::suspected,
+                                      crash_state::confirmed};
+    return count_states(observations, states);
+}
 
-void crash_ledger::suspect(leased_task const& task, bool alone, time_point now)
+crash_count count_shared(std::span<crash_observation const> observations)
 {
-    auto& found = entries_[task];
-    add(found.suspected, alone);
-    found.changed_at = now;
+    constexpr crash_state states[] = {crash_state::shared};
+    return count_states(observations, states);
 }
 
-void crash_ledger::confirm(leased_task const& task, bool alone, time_point now)
+duration doubled(duration first, std::uint32_t doublings)
 {
-    auto& found = entries_[task];
-    add(found.confirmed, alone);
-    merge(found.suspected, found.confirmed);
-    found.changed_at = now;
+    return first * (1U << std::min(doublings, max_doublings));
 }
 
-void crash_ledger::refute(leased_task const& task, bool alone)
+} // namespace
+
+bool crash_ledger::merge(entry& known, crash_observation const& observation,
+                         time_point now)
 {
-    auto const found = entries_.find(task);
-    if (found == entries_.end())
+    auto const found = std::ranges::find(known.observations, observation.id,
+                                         &crash_observation::id);
+    if (found == known.observations.end())
     {
-        return;
+        if (known.observations.size() == max_observed_crashes)
+        {
+            return false;
+        }
+        known.observations.push_back(observation);
+        known.changed_at = now;
+        return true;
     }
-    auto& [suspected, confirmed, changed_at] = found->second;
-    suspected.crashes -= suspected.crashes > confirmed.crashes ? 1 : 0;
-    suspected.alone -= alone && suspected.alone > confirmed.alone ? 1 : 0;
-    if (suspected.crashes == 0)
+    auto const before = *found;
+    found->state = std::max(found->state, observation.state);
+    // Another run that one owner does not know of makes the task less suspect.
+    found->alone = found->alone && observation.alone;
+    if (*found == before)
     {
-        entries_.erase(found);
+        return false;
     }
+    known.changed_at = now;
+    return true;
+}
+
+bool crash_ledger::record(leased_task const& task,
+                          crash_observation const& observation, time_point now)
+{
+    return merge(entries_[task], observation, now);
 }
 
-void crash_ledger::adopt(std::span<task_crashes const> counts, time_point now)
+void crash_ledger::adopt(std::span<task_crashes const> reported, time_point now)
 {
-    for (auto const& [task, suspected, confirmed] : counts)
+    for (auto const& [task, observations] : reported)
     {
-        if (suspected.crashes == 0)
+        for (auto const& observation : observations)
         {
-            continue;
-        }
-        auto& found = entries_[task];
-        auto const before = found;
-        merge(found.suspected, suspected);
-        merge(found.confirmed, confirmed);
-        merge(found.suspected, found.confirmed);
-        if (before.suspected != found.suspected ||
-            before.confirmed != found.confirmed)
-        {
-            found.changed_at = now;
+            merge(entries_[task], observation, now);
         }
     }
 }
 
+bool crash_ledger::contains(leased_task const& task, std::uint64_t id) const
+{
+    auto const found = entries_.find(task);
+    return found != entries_.end() &&
+           std::ranges::find(found->second.observations, id,
+                             &crash_observation::id) !=
+               found->second.observations.end();
+}
+
 void crash_ledger::forget(leased_task const& task)
 {
     entries_.erase(task);
@@ -103,28 +142,41 @@
     std::erase_if(entries_,
                   [&](auto const& item)
                   {
-                      return now - item.second.changed_at > count_retention &&
+                      return now - item.second.changed_at > crash_retention &&
                              !is_open(item.first.job);
                   });
 }
 
 bool crash_ledger::is_suspect(leased_task const& task) const
 {
-    return entries_.contains(task);
+    return suspected(task).crashes > 0;
 }
 
-bool crash_ledger::is_withheld(leased_task const& task) const
+bool crash_ledger::is_withheld(entry const& known, time_point now)
+{
+    auto const count = count_suspected(known.observations);
+    if (identifies_task(count))
+    {
+        auto const doublings = count.crashes - isolated_crash_limit;
+        return now < known.changed_at + doubled(suspicion_delay, doublings);
+    }
+    auto const shared = count_shared(known.observations).crashes;
+    return shared >= 2 &&
+           now < known.changed_at + doubled(shared_crash_delay, shared - 2);
+}
+
+bool crash_ledger::is_withheld(leased_task const& task, time_point now) const
 {
     auto const found = entries_.find(task);
-    return found != entries_.end() && identifies_task(found->second.suspected);
+    return found != entries_.end() && is_withheld(found->second, now);
 }
 
-bool crash_ledger::withholds_task_of(client_job_id job) const
+bool crash_ledger::withholds_task_of(client_job_id job, time_point now) const
 {
     for (auto item = entries_.lower_bound({job, 0, 0});
          item != entries_.end() && item->first.job == job; ++item)
     {
-        if (identifies_task(item->second.suspected))
+        if (is_withheld(item->second, now))
         {
             return true;
         }
@@ -133,17 +185,24 @@
 }
 
 bool crash_ledger::is_crash_looping(leased_task const& task) const
+{
+    return identifies_task(confirmed(task));
+}
+
+crash_count crash_ledger::confirmed(leased_task const& task) const
 {
     auto const found = entries_.find(task);
-    return found != entries_.end() && identifies_task(found->second.confirmed);
+    return found == entries_.end()
+               ? crash_count{}
+               : count_confirmed(found->second.observations);
 }
 
-task_crashes crash_ledger::counts(leased_task const& task) const
+crash_count crash_ledger::suspected(leased_task const& task) const
 {
     auto const found = entries_.find(task);
-    return found == entries_.end() ? task_crashes{task, {}, {}}
-                                   : task_crashes{task, found->second.suspected,
-                                                  found->second.confirmed};
+    return found == entries_.end()
+               ? crash_count{}
+               : count_suspected(found->second.observations);
 }
 
 std::optional<time_point>
@@ -161,7 +220,7 @@
     for (auto item = entries_.lower_bound({job, 0, 0});
          item != entries_.end() && item->first.job == job; ++item)
     {
-        if (identifies_task(item->second.confirmed))
+        if (identifies_task(count_confirmed(item->second.observations)))
         {
             tasks.push_back(item->first);
         }
@@ -174,17 +233,25 @@
                      std::function<bool(client_job_id)> const& is_open) const
 {
     std::vector<task_crashes> reported;
-    for (auto const& [task, found] : entries_)
+    std::vector<task_crashes> unsuspicious;
+    for (auto const& [task, known] : entries_)
     {
-        if (reported.size() == max_reported_crashes)
+        if (now - known.changed_at > report_time && !is_open(task.job))
         {
-            break;
+            continue;
         }
-        if (now - found.changed_at <= report_time || is_open(task.job))
+        bool const is_suspect = count_suspected(known.observations).crashes > 0;
+        auto& target = is_suspect ? reported : unsuspicious;
+        if (target.size() < max_reported_crashes)
         {
-            reported.push_back({task, found.suspected, found.confirmed});
+            target.push_back({task, known.observations});
         }
     }
+    auto const left =
+        std::min(unsuspicious.size(), max_reported_crashes - reported.size());
+    std::move(unsuspicious.begin(),
+              unsuspicious.begin() + static_cast<std::ptrdiff_t>(left),
+              std::back_inserter(reported));
     return reported;
 }
 
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -97,6 +97,7 @@
     state_.retained_verdicts.clear();
     state_.withdrawn.clear();
     state_.done_tasks.clear();
+    state_.unsettled_crashes.clear();
     for (auto& [id, executor] : state_.executors)
     {
         executor.claimed = false;
@@ -165,6 +166,11 @@
                                 context);
         executor.health = {};
     }
+    else if (!is_new && description.draining && !executor.description.draining)
+    {
+        // A process that announces that it leaves has not crashed.
+        state_.refute_crashes(executor, context);
+    }
     if (executor.description.capacity != description.capacity)
     {
         executor.refusal.reset();
@@ -347,6 +353,7 @@
     bool const busy =
         state_.owner &&
         (!state_.jobs.empty() || !state_.claims_complete(now) ||
+         !state_.unsettled_crashes.empty() ||
          std::ranges::any_of(state_.executors,
                              [](auto const& entry)
                              {
@@ -370,17 +377,17 @@
                                  });
 }
 
-void job_scheduler::adopt_crashes(std::span<task_crashes const> counts,
+void job_scheduler::adopt_crashes(std::span<task_crashes const> reported,
                                   time_point now,
                                   std::vector<scheduler_action>& out)
 {
-    state_.crashes.adopt(counts, now);
+    state_.crashes.adopt(reported, now);
     scheduler_context context{now, out};
-    for (auto const& count : counts)
+    for (auto const& crashes : reported)
     {
-        if (state_.crashes.is_crash_looping(count.task))
+        if (state_.crashes.is_crash_looping(crashes.task))
         {
-            state_.end_crash_looping_job(count.task.job, context);
+            state_.end_crash_looping_job(crashes.task.job, context);
         }
     }
 }
--- a/src/core/leasing/scheduler_crashes.cpp
+++ b/src/core/leasing/scheduler_crashes.cpp
@@ -1,6 +1,9 @@
+#include "goldcrestgate/core/detail/hash_bytes.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace goldcrestgate::core::detail
@@ -12,6 +15,32 @@
 /// Crashes within this time of each other count as simultaneous.
 constexpr duration simultaneous_crash_time = std::chrono::milliseconds{250};
 
+/// Time for the news of the restarts of other executors to arrive: entries are
+/// read every 300 ms, and a new process writes its own first.
+constexpr duration crash_settle_time = std::chrono::milliseconds{700};
+
+/// A crash is shared if one of this number of the other executors crashed in
+/// the same moment, but at least the minimum number, or all of them.
+constexpr std::uint64_t shared_crash_divisor = 16;
+constexpr std::uint64_t min_shared_crashes = 3;
+
+/// Tolerance for the delay of answers when the start of a process is computed
+/// from its clock.
+constexpr duration process_start_tolerance = std::chrono::milliseconds{100};
+
+bool is_share_of_all(std::uint64_t crashes, std::uint64_t executors)
+{
+    auto const share =
+        (executors + shared_crash_divisor - 1) / shared_crash_divisor;
+    return crashes >= std::min(executors, std::max(min_shared_crashes, share));
+}
+
+bool is_shared(crash_evidence const& evidence)
+{
+    return evidence.other_executors > 0 &&
+           is_share_of_all(evidence.other_crashes, evidence.other_executors);
+}
+
 scheduler_log_event make_crash_event(std::string_view event,
                                      executor_id executor,
                                      possible_crash const& crash,
@@ -26,6 +55,29 @@
     return log_event;
 }
 
+/// Returns an id that all owners compute alike.
+std::uint64_t make_crash_id(executor_description const& executor,
+                            task_run const& run)
+{
+    return hash_bytes(executor.name + '/' +
+                      std::to_string(executor.incarnation) + '/' +
+                      std::to_string(run.execution));
+}
+
+std::uint32_t failures_of(job_record const& job, leased_task const& task)
+{
+    return job.groups[task.group].tasks[task.index].failures;
+}
+
+bool has_run_of(executor_record const& executor, client_job_id job)
+{
+    return std::ranges::any_of(executor.runs,
+                               [job](run_record const& run)
+                               {
+                                   return run.run.task.job == job;
+                               });
+}
+
 /// Returns whether the executor may have crashed after a time. An executor's
 /// clock starts at 0 with its process.
 bool may_have_crashed_since(executor_record const& executor, time_point since,
@@ -48,18 +100,22 @@
 {
     possible_crash crash;
     crash.run = run.run;
+    crash.id = make_crash_id(executor.description, run.run);
     crash.incarnation = executor.description.incarnation;
     crash.alone = alone;
-    crash.seen_at = std::max(run.confirmed_at, run.listed_at);
-    if (run.listed_at != time_point{})
-    {
-        crash.start = "listed";
-    }
-    else
+    crash.isolated = run.isolated;
+    // The run may have ended by a stop that was not answered, or while the
+    // executor answered other orders.
+    auto const seen_at = std::max(run.confirmed_at, run.listed_at);
+    auto const expected_end = run.sent_at + run.expected_run_time;
+    if (run.phase != run_phase::running ||
+        executor.clock_at > std::max(seen_at, expected_end))
     {
-        crash.start =
-            run.confirmed_at != time_point{} ? "accepted" : "unconfirmed";
+        crash.start = "unconfirmed";
+        return crash;
     }
+    crash.seen_at = seen_at;
+    crash.start = run.listed_at != time_point{} ? "listed" : "accepted";
     return crash;
 }
 
@@ -73,57 +129,149 @@
     {
         return evidence;
     }
+    auto const job = crash.run.task.job;
     auto const ended = executor.last_process_end->latest();
+    auto const crashed_then = [ended](executor_record const& other)
+    {
+        return other.last_process_end &&
+               std::chrono::abs(other.last_process_end->latest() - ended) <=
+                   simultaneous_crash_time;
+    };
+    std::set<executor_id> with_job;
+    for (auto const& unsettled : unsettled_crashes)
+    {
+        if (unsettled.crash.run.task.job == job)
+        {
+            with_job.insert(unsettled.executor);
+        }
+    }
+    crash_evidence all = evidence;
     for (auto const& [id, other] : executors)
     {
-        bool const has_job = std::ranges::any_of(other.runs,
-                                                 [&crash](run_record const& run)
-                                                 {
-                                                     return run.run.task.job ==
-                                                            crash.run.task.job;
-                                                 });
-        if (id == executor.id || has_job)
+        if (id == executor.id || !other.listed)
         {
             continue;
         }
-        ++evidence.other_executors;
-        bool const crashed = other.last_process_end &&
-                             std::chrono::abs(other.last_process_end->latest() -
-                                              ended) <= simultaneous_crash_time;
-        evidence.other_crashes += crashed ? 1 : 0;
+        bool const crashed = crashed_then(other);
+        ++all.other_executors;
+        all.other_crashes += crashed ? 1 : 0;
+        bool const has_suspect =
+            crashed ? other.last_process_end->had_suspect
+                    : std::ranges::any_of(other.runs, &run_record::isolated);
+        if (!has_suspect && !with_job.contains(id) && !has_run_of(other, job))
+        {
+            ++evidence.other_executors;
+            evidence.other_crashes += crashed ? 1 : 0;
+        }
+    }
+    // Without sound tasks to compare with, only the number of crashes tells.
+    return evidence.other_executors == 0 ? all : evidence;
+}
+
+void scheduler_state::record_crash(executor_record const& executor,
+                                   possible_crash const& crash,
+                                   crash_state state, std::string_view event,
+                                   scheduler_context& context)
+{
+    auto const& task = crash.run.task;
+    bool const was_withheld = crashes.is_withheld(task, context.now);
+    crashes.record(task, {crash.id, state, crash.alone}, context.now);
+    auto log_event = make_crash_event(event, executor.id, crash,
+                                      evidence_of(executor, crash));
+    log_event.count = state == crash_state::confirmed
+                          ? crashes.confirmed(task).crashes
+                          : crashes.suspected(task).crashes;
+    context.out.emplace_back(log_event);
+    if (!was_withheld && crashes.is_withheld(task, context.now))
+    {
+        log_event.event = "task_withheld";
+        context.out.emplace_back(log_event);
     }
-    return evidence;
 }
 
 void scheduler_state::suspect_crash(executor_record& executor,
-                                    std::span<run_record const> runs,
+                                    possible_crash const& crash,
                                     scheduler_context& context)
 {
-    bool const alone = runs.size() == 1;
+    executor.possible_crashes.push_back(crash);
+    record_crash(executor, crash, crash_state::suspected, "crash_suspected",
+                 context);
+}
+
+// A run that was stopped before does not show as lost with the process.
+void scheduler_state::suspect_crashes(executor_record& executor,
+                                      std::span<run_record const> runs,
+                                      scheduler_context& context)
+{
     for (auto const& run : runs)
     {
-        auto const& task = run.run.task;
-        crashes.suspect(task, alone, context.now);
-        auto const crash = make_possible_crash(executor, run, alone);
-        executor.possible_crashes.push_back(crash);
-        auto log_event = make_crash_event("crash_suspected", executor.id, crash,
-                                          evidence_of(executor, crash));
-        log_event.count = crashes.counts(task).suspected.crashes;
-        context.out.emplace_back(log_event);
-        if (crashes.is_withheld(task))
+        if (run.phase != run_phase::stop_accepted)
         {
-            log_event.event = "task_withheld";
-            context.out.emplace_back(log_event);
+            suspect_crash(executor,
+                          make_possible_crash(executor, run, runs.size() == 1),
+                          context);
         }
     }
 }
 
-void scheduler_state::confirm_crashes(executor_record& executor,
+void scheduler_state::record_process_end(executor_record& executor,
+                                         time_point now)
+{
+    bool const had_suspect =
+        std::ranges::any_of(executor.runs, &run_record::isolated) ||
+        std::ranges::any_of(executor.possible_crashes,
+                            &possible_crash::isolated);
+    executor.last_process_end = process_end{now, std::nullopt, had_suspect};
+}
+
+void scheduler_state::record_process_start(executor_record& executor,
+                                           poll_answer const& answer,
+                                           time_point now)
+{
+    auto& ended = executor.last_process_end;
+    if (ended && !ended->next_start && answer.clock)
+    {
+        ended->next_start =
+            now - std::chrono::milliseconds{answer.clock->value()};
+    }
+}
+
+void scheduler_state::resolve_crashes(executor_record& executor,
+                                      poll_answer const& answer,
                                       scheduler_context& context)
 {
     for (auto const& crash : std::exchange(executor.possible_crashes, {}))
     {
-        confirm_crash(executor, crash, context);
+        // The task may have ended as done elsewhere meanwhile.
+        if (!crashes.contains(crash.run.task, crash.id))
+        {
+            continue;
+        }
+        std::optional<time_point> started;
+        if (answer.clock)
+        {
+            started =
+                context.now - std::chrono::milliseconds{answer.clock->value()};
+        }
+        bool const started_later =
+            started && *started + process_start_tolerance >= crash.seen_at;
+        bool const is_named = answer.incarnation != 0 && crash.incarnation != 0;
+        bool const has_ended =
+            is_named ? answer.incarnation != crash.incarnation : started_later;
+        if (!has_ended)
+        {
+            record_crash(executor, crash, crash_state::refuted, "crash_refuted",
+                         context);
+        }
+        else if (started_later)
+        {
+            await_other_crashes(executor, crash, context);
+        }
+        else
+        {
+            record_crash(executor, crash, crash_state::suspected,
+                         "crash_unproven", context);
+        }
     }
 }
 
@@ -132,51 +280,116 @@
 {
     for (auto const& crash : std::exchange(executor.possible_crashes, {}))
     {
-        crashes.refute(crash.run.task, crash.alone);
-        auto log_event = make_crash_event("crash_refuted", executor.id, crash,
-                                          evidence_of(executor, crash));
-        log_event.count = crashes.counts(crash.run.task).suspected.crashes;
-        context.out.emplace_back(log_event);
+        record_crash(executor, crash, crash_state::refuted, "crash_refuted",
+                     context);
     }
 }
 
-void scheduler_state::count_crash(executor_record const& executor,
-                                  possible_crash const& crash,
-                                  scheduler_context& context)
+void scheduler_state::judge_crash_before_restart(executor_record& executor,
+                                                 possible_crash const& crash,
+                                                 scheduler_context& context)
 {
-    crashes.suspect(crash.run.task, crash.alone, context.now);
-    confirm_crash(executor, crash, context);
+    if (!executor.claimed)
+    {
+        suspect_crash(executor, crash, context);
+        return;
+    }
+    auto const present = executor.description.incarnation;
+    if (present != 0 && present == crash.incarnation)
+    {
+        record_crash(executor, crash, crash_state::refuted, "crash_refuted",
+                     context);
+        return;
+    }
+    await_other_crashes(executor, crash, context);
 }
 
-void scheduler_state::confirm_crash(executor_record const& executor,
-                                    possible_crash const& crash,
-                                    scheduler_context& context)
+void scheduler_state::await_other_crashes(executor_record& executor,
+                                          possible_crash const& crash,
+                                          scheduler_context& context)
 {
-    auto const& task = crash.run.task;
-    crashes.confirm(task, crash.alone, context.now);
-    auto log_event = make_crash_event("crash_counted", executor.id, crash,
-                                      evidence_of(executor, crash));
-    log_event.count = crashes.counts(task).confirmed.crashes;
-    context.out.emplace_back(log_event);
-    if (crashes.is_crash_looping(task))
+    if (!executor.last_process_end)
+    {
+        record_process_end(executor, context.now);
+    }
+    record_crash(executor, crash, crash_state::suspected, "crash_found",
+                 context);
+    unsettled_crashes.push_back(
+        {executor.id, crash, context.now + crash_settle_time});
+}
+
+void scheduler_state::settle_crashes(scheduler_context& context)
+{
+    std::set<client_job_id> identified;
+    std::vector<unsettled_crash> left;
+    for (auto const& unsettled : unsettled_crashes)
+    {
+        auto const& crash = unsettled.crash;
+        auto const& task = crash.run.task;
+        auto const found = executors.find(unsettled.executor);
+        if (found == executors.end() || !crashes.contains(task, crash.id))
+        {
+            continue;
+        }
+        if (is_shared(evidence_of(found->second, crash)))
+        {
+            record_crash(found->second, crash, crash_state::shared,
+                         "crash_shared", context);
+        }
+        else if (context.now < unsettled.due)
+        {
+            left.push_back(unsettled);
+        }
+        else if (!crash.is_run_confirmed())
+        {
+            record_crash(found->second, crash, crash_state::suspected,
+                         "crash_unproven", context);
+        }
+        else
+        {
+            record_crash(found->second, crash, crash_state::confirmed,
+                         "crash_counted", context);
+            if (crashes.is_crash_looping(task))
+            {
+                identified.insert(task.job);
+            }
+        }
+    }
+    unsettled_crashes = std::move(left);
+    for (auto const job : identified)
     {
-        end_crash_looping_job(task.job, context);
+        end_crash_looping_job(job, context);
     }
 }
 
 void scheduler_state::end_crash_looping_job(client_job_id id,
                                             scheduler_context& context)
 {
-    if (!owner || !jobs.contains(id))
+    auto const found = jobs.find(id);
+    if (!owner || found == jobs.end())
+    {
+        return;
+    }
+    auto const& job = found->second;
+    auto tasks = crashes.crash_looping_tasks(id);
+    std::erase_if(tasks,
+                  [&](leased_task const& task)
+                  {
+                      return !has_task(job, task) ||
+                             crashes.confirmed(task).crashes +
+                                     failures_of(job, task) <
+                                 job.job.max_attempts;
+                  });
+    if (tasks.empty())
     {
         return;
     }
-    for (auto const& task : crashes.crash_looping_tasks(id))
+    for (auto const& task : tasks)
     {
         scheduler_log_event log_event{
             .event = "task_given_up", .job = id, .run = task_run{task, 0}};
         log_event.reason = "crashes_executors";
-        log_event.count = crashes.counts(task).confirmed.crashes;
+        log_event.count = crashes.confirmed(task).crashes;
         context.out.emplace_back(log_event);
     }
     end_job(id, job_outcome::failed, {}, "crashes_executors", context);
@@ -213,13 +426,14 @@
             {
                 continue;
             }
-            crashes.suspect(task, false, context.now);
+            crashes.record(task, {term, crash_state::suspected, false},
+                           context.now);
             scheduler_log_event log_event{.event = "crash_suspected",
                                           .job = job.job.id,
                                           .run = task_run{task, 0},
                                           .executor = crashed->first};
             log_event.reason = "earlier_owner";
-            log_event.count = crashes.counts(task).suspected.crashes;
+            log_event.count = crashes.suspected(task).crashes;
             context.out.emplace_back(log_event);
         }
     }
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -40,6 +40,14 @@
 /// Minimum retry delay of a caller whose job was rejected.
 constexpr duration rejection_retry_delay = std::chrono::seconds{1};
 
+/// Returns whether a verdict holds for a later submission of its job. A job
+/// that failed may be completed with more attempts.
+bool holds_for(retained_verdict const& ended, leased_job const& submitted)
+{
+    return ended.verdict.outcome != job_outcome::failed ||
+           submitted.max_attempts <= ended.max_attempts;
+}
+
 void make_waiting(group_record& group, task_record& task)
 {
     task.phase = task_phase::waiting;
@@ -124,6 +132,7 @@
     {
         known->second.origin = origin;
         known->second.sequence = offered.sequence;
+        known->second.job.max_attempts = offered.job.max_attempts;
         known->second.cancellation.reset();
         if (may_run_elsewhere && !known->second.inherited)
         {
@@ -132,7 +141,8 @@
         return;
     }
     if (auto const ended = retained_verdicts.find(id);
-        ended != retained_verdicts.end())
+        ended != retained_verdicts.end() &&
+        holds_for(ended->second, offered.job))
     {
         auto verdict = ended->second.verdict;
         verdict.sequence = offered.sequence;
@@ -169,9 +179,9 @@
         end_job(id, job_outcome::completed, {}, "completed", context);
         return;
     }
-    if (!crashes.crash_looping_tasks(id).empty())
+    end_crash_looping_job(id, context);
+    if (!jobs.contains(id))
     {
-        end_crash_looping_job(id, context);
         return;
     }
     if (suspended && !stored.started())
@@ -225,7 +235,8 @@
     context.out.emplace_back(log_event);
     if (outcome == job_outcome::completed || outcome == job_outcome::failed)
     {
-        retained_verdicts[id] = {verdict, context.now + verdict_retention};
+        retained_verdicts[id] = {verdict, context.now + verdict_retention,
+                                 job.job.max_attempts};
     }
 }
 
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -213,14 +213,9 @@
     {
         executor.description.incarnation = answer.incarnation;
     }
-    refute_crashes(executor, context);
+    record_process_start(executor, answer, context.now);
+    resolve_crashes(executor, answer, context);
     record_clock(executor, answer.clock, context.now);
-    if (executor.last_process_end && !executor.last_process_end->next_start &&
-        answer.clock)
-    {
-        executor.last_process_end->next_start =
-            context.now - std::chrono::milliseconds{answer.clock->value()};
-    }
     record_accepted_order(executor, answer.order);
     executor.unresponsive = false;
     executor.health.record_answer();
@@ -346,7 +341,7 @@
         task_ended(executor, run, run_end::lease_expired, context);
         if (run.before_restart)
         {
-            count_crash(executor, *run.before_restart, context);
+            judge_crash_before_restart(executor, *run.before_restart, context);
         }
     }
     for (auto const& entry : answer.running)
@@ -425,9 +420,21 @@
     }
     bool const may_have_crashed = lease_expired && executor.unresponsive &&
                                   !executor.description.draining;
+    std::vector<run_record> ended_without_restart;
+    for (auto const& run : ended)
+    {
+        if (run.before_restart)
+        {
+            judge_crash_before_restart(executor, *run.before_restart, context);
+        }
+        else
+        {
+            ended_without_restart.push_back(run);
+        }
+    }
     if (may_have_crashed)
     {
-        suspect_crash(executor, ended, context);
+        suspect_crashes(executor, ended_without_restart, context);
     }
     for (auto const& run : ended)
     {
@@ -438,10 +445,6 @@
         task_ended(executor, run,
                    lease_expired ? run_end::lease_expired : run_end::stopped,
                    context);
-        if (run.before_restart && !may_have_crashed)
-        {
-            count_crash(executor, *run.before_restart, context);
-        }
     }
 }
 
@@ -478,7 +481,6 @@
     }
     for (auto const id : dropped)
     {
-        confirm_crashes(executors.at(id), context);
         speeds.remove(id);
         executors.erase(id);
     }
@@ -487,6 +489,7 @@
                    {
                        return jobs.contains(job);
                    });
+    settle_crashes(context);
     move_or_abandon_late_runs(context);
     expire_jobs(context);
     place_waiting(context);
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -375,13 +375,13 @@
     log_event.change = {news.source, executor.description.incarnation,
                         news.incarnation, executor.runs.size()};
     context.out.emplace_back(log_event);
-    // An executor that has left after draining has not crashed.
+    // An executor that has left after draining has not crashed. After a second
+    // restart it is not known which process had an unlisted run.
     if (!executor.description.draining)
     {
         for (auto& run : executor.runs)
         {
-            run.before_restart.reset();
-            if (may_have_crashed_under(executor, run))
+            if (!run.before_restart && run.phase != run_phase::stop_accepted)
             {
                 run.before_restart = make_possible_crash(
                     executor, run, executor.runs.size() == 1);
@@ -396,8 +396,7 @@
     executor.granted_until = {};
     executor.acknowledged = 0;
     executor.unresponsive = false;
-    executor.last_process_end = process_end{context.now};
-    confirm_crashes(executor, context);
+    record_process_end(executor, context.now);
     executor.last_uncertain_order = order_id{last_order};
     // The new process may have carried out a start, also of an earlier owner,
     // just now. It counts the lease from then on, as the deadline of the order
@@ -410,14 +409,6 @@
     repeat_stops(executor, context);
 }
 
-// An executor that has answered nothing since the start was sent may have
-// crashed before the start arrived.
-bool scheduler_state::may_have_crashed_under(executor_record const& executor,
-                                             run_record const& run)
-{
-    return run.confirmed_at != time_point{} || executor.clock_at > run.sent_at;
-}
-
 bool scheduler_state::was_sent_to_present_process(
     executor_record const& executor, order_id order)
 {
@@ -447,6 +438,7 @@
     {
         return;
     }
+    record_process_end(executor, context.now);
     executor.last_uncertain_order = order_id{last_order};
     // Another executor refuses late orders by the name that they carry.
     executor.unanswered_starts.clear();
@@ -456,25 +448,14 @@
     executor.granted_until = {};
     executor.acknowledged = 0;
     executor.unresponsive = false;
-    executor.last_process_end = process_end{context.now};
     for (auto const& run : runs)
     {
         note_given_up(executor, run, "executor_lost", context.now);
         requeue_task(run, context);
     }
-    confirm_crashes(executor, context);
-    if (executor.description.draining)
-    {
-        return;
-    }
-    for (auto const& run : runs)
+    if (!executor.description.draining)
     {
-        if (may_have_crashed_under(executor, run))
-        {
-            count_crash(executor,
-                        make_possible_crash(executor, run, runs.size() == 1),
-                        context);
-        }
+        suspect_crashes(executor, runs, context);
     }
 }
 
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -139,9 +139,10 @@
     std::ranges::sort(order, {}, &decltype(order)::value_type::first);
     // A task of a job that cannot be completed would only use capacity.
     std::erase_if(order,
-                  [this](auto const& entry)
+                  [this, &context](auto const& entry)
                   {
-                      return crashes.withholds_task_of(entry.second->job.id);
+                      return crashes.withholds_task_of(entry.second->job.id,
+                                                       context.now);
                   });
     for (auto const& [position, job] : order)
     {
--- a/src/core/submission/job_body.cpp
+++ b/src/core/submission/job_body.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/core/submission/job_body.hpp"
 
+#include "goldcrestgate/core/detail/hash_bytes.hpp"
+
 #include "goldcrestgate/core/submission/answer.hpp"
 
 #include <nlohmann/json.hpp>
@@ -297,13 +299,7 @@
 
 std::uint64_t hash_body(std::string_view body)
 {
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (char const character : body)
-    {
-        hash ^= static_cast<unsigned char>(character);
-        hash *= 0x100000001b3ULL;
-    }
-    return hash;
+    return detail::hash_bytes(body);
 }
 
 std::variant<job_request, error> parse_job_body(std::string_view body)
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -337,16 +337,22 @@
     fb::Offset<fb::Vector<fb::Offset<detail::TaskCrashes>>> crash_list;
     if (!crashes.empty())
     {
-        std::vector<fb::Offset<detail::TaskCrashes>> counts;
-        counts.reserve(crashes.size());
-        for (auto const& [task, suspected, confirmed] : crashes)
+        std::vector<fb::Offset<detail::TaskCrashes>> tasks;
+        tasks.reserve(crashes.size());
+        for (auto const& [task, observations] : crashes)
         {
-            counts.push_back(detail::CreateTaskCrashes(
-                out, task.job.value(), task.group, task.index,
-                suspected.crashes, suspected.alone, confirmed.crashes,
-                confirmed.alone));
+            std::vector<detail::CrashObservation> entries;
+            entries.reserve(observations.size());
+            for (auto const& [id, state, alone] : observations)
+            {
+                entries.emplace_back(id, static_cast<std::uint8_t>(state),
+                                     alone);
+            }
+            auto const list = out.CreateVectorOfStructs(entries);
+            tasks.push_back(detail::CreateTaskCrashes(
+                out, task.job.value(), task.group, task.index, list));
         }
-        crash_list = out.CreateVector(counts);
+        crash_list = out.CreateVector(tasks);
     }
     return {detail::Message::OwnerHeartbeat,
             detail::CreateOwnerHeartbeat(
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -32,36 +32,49 @@
     return group;
 }
 
-/// Returns whether the counts are consistent and not more than allowed.
-bool decode_crashes(OwnerHeartbeat const& source, core::owner_heartbeat& target)
+std::vector<core::crash_observation> decode(TaskCrashes const& source)
 {
-    auto const* const crashes = source.crashes();
-    if (crashes == nullptr)
+    std::vector<core::crash_observation> observations;
+    auto const* const entries = source.observations();
+    if (entries == nullptr || entries->size() > core::max_observed_crashes)
+    {
+        return observations;
+    }
+    for (auto const* const entry : *entries)
     {
-        return true;
+        constexpr auto last =
+            static_cast<std::uint8_t>(core::crash_state::confirmed);
+        if (entry->state() <= last)
+        {
+            observations.push_back(
+                {entry->id(), static_cast<core::crash_state>(entry->state()),
+                 entry->alone()});
+        }
     }
-    if (crashes->size() > core::max_reported_crashes)
+    return observations;
+}
+
+/// Reads the crashes that are valid. The heartbeat matters more than a report
+/// that cannot be used.
+std::vector<core::task_crashes> decode_crashes(OwnerHeartbeat const& source)
+{
+    std::vector<core::task_crashes> tasks;
+    auto const* const crashes = source.crashes();
+    if (crashes == nullptr || crashes->size() > core::max_reported_crashes)
     {
-        return false;
+        return tasks;
     }
     for (auto const* const entry : *crashes)
     {
-        core::crash_count const suspected{entry->suspected(),
-                                          entry->suspected_alone()};
-        core::crash_count const confirmed{entry->confirmed(),
-                                          entry->confirmed_alone()};
-        if (suspected.alone > suspected.crashes ||
-            confirmed.alone > confirmed.crashes ||
-            confirmed.crashes > suspected.crashes)
+        auto observations = decode(*entry);
+        if (!observations.empty())
         {
-            return false;
+            tasks.push_back({{core::client_job_id{entry->job()}, entry->group(),
+                              entry->index()},
+                             std::move(observations)});
         }
-        target.crashes.push_back({{core::client_job_id{entry->job()},
-                                   entry->group(), entry->index()},
-                                  suspected,
-                                  confirmed});
     }
-    return true;
+    return tasks;
 }
 
 } // namespace
@@ -165,8 +178,8 @@
             message.evacuated.domains.emplace(domain);
         }
     }
-    return decode_crashes(source, message) ? std::optional{message}
-                                           : std::nullopt;
+    message.crashes = decode_crashes(source);
+    return message;
 }
 
 std::optional<core::peer_message> decode(ExecutorSpeeds const& source)
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -192,6 +192,7 @@
     {
         return;
     }
+    histories_[run.task].failed_ends += end == run_end::failed ? 1 : 0;
     target.finished.push_back({++target.last_finished_number, run, end});
     target.ended_at[target.last_finished_number] = now_;
     auto& highest = target.highest_ended[run.task];
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -139,6 +139,9 @@
     /// of the task.
     [[nodiscard]] std::size_t crashes(core::leased_task const& task) const;
 
+    /// @brief Returns the number of runs of the task that ended as failed.
+    [[nodiscard]] std::size_t failed_ends(core::leased_task const& task) const;
+
     /// @brief Returns the largest number of starts of one task after three
     /// executors had crashed under it.
     [[nodiscard]] std::size_t most_starts_after_third_crash() const;
@@ -205,6 +208,7 @@
     struct task_history
     {
         std::size_t crashes = 0;
+        std::size_t failed_ends = 0;
         std::size_t starts_after_third_crash = 0;
     };
 
--- a/tests/support/executor_fleet_crashes.cpp
+++ b/tests/support/executor_fleet_crashes.cpp
@@ -51,6 +51,12 @@
     return found == histories_.end() ? 0 : found->second.crashes;
 }
 
+std::size_t executor_fleet::failed_ends(leased_task const& task) const
+{
+    auto const found = histories_.find(task);
+    return found == histories_.end() ? 0 : found->second.failed_ends;
+}
+
 std::size_t executor_fleet::most_starts_after_third_crash() const
 {
     std::size_t most = 0;
