Visit each group of a job once at a takeover

Cause: complete_preceding_groups recursed over `after` without a note of the groups that it had visited, 2^(n-1) calls for n groups of a full graph, each with a pass over all groups. Each end that was found at a takeover applied all recorded ends of its job again, with such a walk for each.

Ruled out: the shape of the job alone (without the kill the case holds); critical_path and both decoders of jobs visit each entry of `after` once.

Change: detail/group_order.hpp keeps the order of a job's groups. A group counts the entries of its `after` that are not done and knows the groups after it. The walk over earlier groups is a loop that visits each group once in the life of the job; a task that is repeated in a group that was shown to be done makes it start anew. An end is applied when it is recorded.

Evidence: on the earlier code 5 of the 11 cases of unit.takeover_of_many_groups fail. The six cases on which groups are done passed before too.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -33,6 +34,15 @@
 {
     std::uint16_t done = 0;
     std::uint16_t waiting = 0;
+    /// Whether a run or an end of a later group has shown that the group is
+    /// done. Its active tasks are those that an earlier owner repeated.
+    bool shown_done = false;
+    /// Whether all groups before it are shown to be done.
+    bool preceding_shown_done = false;
+    /// Number of entries in its `after` whose tasks are not all done.
+    std::size_t awaited = 0;
+    /// The group of each entry in an `after` that names this group.
+    std::vector<std::uint16_t> following;
     std::vector<task_record> tasks;
 };
 
@@ -58,6 +68,10 @@
     time_point deadline{};
     duration critical_path_time{};
     std::vector<group_record> groups;
+    /// Number of groups with a task that is not done.
+    std::size_t unfinished_groups = 0;
+    /// Whether a task that is not done may have an end that is recorded.
+    bool has_unapplied_ends = false;
     /// Whether a task may have started under an earlier owner or an earlier
     /// submission of the job.
     bool inherited = false;
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -367,13 +367,12 @@
     /// Records a task that ended `done` under an earlier owner or an earlier
     /// submission of its job.
     void note_done_task(leased_task const& task, scheduler_context& context);
+    /// Marks a task that is recorded as done, if it is waiting, and the groups
+    /// before its own as done.
+    static void complete_done_task(job_record& job, leased_task const& task,
+                                   scheduler_context& context);
     /// Marks the waiting tasks of a job that are recorded as done.
     void complete_done_tasks(job_record& job, scheduler_context& context);
-    [[nodiscard]] static bool is_complete(job_record const& job);
-    /// Unblocks the tasks of the groups whose preceding groups are done.
-    static void unblock_groups(job_record& job);
-    /// Marks the tasks of the groups before a group as done.
-    static void complete_preceding_groups(job_record& job, std::uint16_t group);
     void adopt_runs(job_record& job, scheduler_context& context);
     /// Makes the job responsible for a run that an earlier owner or an earlier
     /// submission of the job started.
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/group_order.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
@@ -81,7 +82,14 @@
     {
         return;
     }
-    complete_done_tasks(found->second, context);
+    if (found->second.has_unapplied_ends)
+    {
+        complete_done_tasks(found->second, context);
+    }
+    else
+    {
+        complete_done_task(found->second, task, context);
+    }
     if (is_complete(found->second))
     {
         end_job(task.job, job_outcome::completed, {}, "completed", context);
@@ -91,58 +99,35 @@
 void scheduler_state::complete_done_tasks(job_record& job,
                                           scheduler_context& context)
 {
+    job.has_unapplied_ends = false;
     auto const first = done_tasks.lower_bound(leased_task{job.job.id, 0, 0});
     for (auto noted = first;
          noted != done_tasks.end() && noted->first.job == job.job.id; ++noted)
     {
-        auto const& task = noted->first;
-        if (!has_task(job, task))
-        {
-            continue;
-        }
-        complete_preceding_groups(job, task.group);
-        auto& group = job.groups[task.group];
-        auto& entry = group.tasks[task.index];
-        if (entry.phase != task_phase::waiting)
-        {
-            continue;
-        }
-        entry.phase = task_phase::done;
-        --group.waiting;
-        ++group.done;
-        job.inherited = true;
-        scheduler_log_event log_event{.event = "end_adopted",
-                                      .job = job.job.id,
-                                      .run = task_run{task, 0}};
-        context.out.emplace_back(log_event);
+        complete_done_task(job, noted->first, context);
     }
-    unblock_groups(job);
 }
 
-// A task starts only after all groups before its own are done, so a run of an
-// earlier owner shows that they are.
-void scheduler_state::complete_preceding_groups(job_record& job,
-                                                std::uint16_t group)
+void scheduler_state::complete_done_task(job_record& job,
+                                         leased_task const& task,
+                                         scheduler_context& context)
 {
-    for (auto const earlier : job.job.groups[group].after)
+    if (!has_task(job, task))
     {
-        complete_preceding_groups(job, earlier);
-        auto& preceding = job.groups[earlier];
-        for (auto& task : preceding.tasks)
-        {
-            if (task.phase == task_phase::waiting)
-            {
-                --preceding.waiting;
-            }
-            else if (task.phase != task_phase::blocked)
-            {
-                continue;
-            }
-            task.phase = task_phase::done;
-            ++preceding.done;
-        }
+        return;
     }
-    unblock_groups(job);
+    complete_preceding_groups(job, task.group);
+    auto const phase = job.groups[task.group].tasks[task.index].phase;
+    if (phase != task_phase::waiting)
+    {
+        job.has_unapplied_ends |= phase != task_phase::done;
+        return;
+    }
+    complete_task(job, task.group, task.index);
+    job.inherited = true;
+    scheduler_log_event log_event{
+        .event = "end_adopted", .job = job.job.id, .run = task_run{task, 0}};
+    context.out.emplace_back(log_event);
 }
 
 run_record& scheduler_state::add_listed_run(executor_record& executor,
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/group_order.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
@@ -40,12 +41,6 @@
 /// Minimum retry delay of a caller whose job was rejected.
 constexpr duration rejection_retry_delay = std::chrono::seconds{1};
 
-void make_waiting(group_record& group, task_record& task)
-{
-    task.phase = task_phase::waiting;
-    ++group.waiting;
-}
-
 /// Returns whether a waiting task would miss the deadline even on the fastest
 /// executor at its best-case run time.
 bool cannot_meet_deadline(job_record const& job, double fastest, time_point now)
@@ -64,41 +59,6 @@
 
 } // namespace
 
-void scheduler_state::unblock_groups(job_record& job)
-{
-    for (std::size_t i = 0; i < job.groups.size(); ++i)
-    {
-        auto const& needed = job.job.groups[i].after;
-        bool const open =
-            std::ranges::all_of(needed,
-                                [&job](std::uint16_t earlier)
-                                {
-                                    return job.groups[earlier].done ==
-                                           job.groups[earlier].tasks.size();
-                                });
-        if (!open)
-        {
-            continue;
-        }
-        for (auto& task : job.groups[i].tasks)
-        {
-            if (task.phase == task_phase::blocked)
-            {
-                make_waiting(job.groups[i], task);
-            }
-        }
-    }
-}
-
-bool scheduler_state::is_complete(job_record const& job)
-{
-    return std::ranges::all_of(job.groups,
-                               [](group_record const& group)
-                               {
-                                   return group.done == group.tasks.size();
-                               });
-}
-
 void scheduler_state::offer(instance_id origin, job_offer const& offered,
                             scheduler_context& context)
 {
@@ -151,11 +111,7 @@
     {
         await_claims(job, context.now);
     }
-    for (auto const& group : offered.job.groups)
-    {
-        job.groups.emplace_back().tasks.resize(group.task_count);
-    }
-    unblock_groups(job);
+    add_groups(job);
     adopt_runs(job, context);
     if (job.inherited && !job.awaits_claims)
     {
@@ -247,6 +203,10 @@
         return;
     }
     make_waiting(group, task);
+    if (group.shown_done)
+    {
+        forget_shown_ends(found->second);
+    }
     for (auto& [id, executor] : executors)
     {
         for (auto& listed : executor.runs)
@@ -324,9 +284,7 @@
     }
     if (end == run_end::done)
     {
-        task.phase = task_phase::done;
-        ++group.done;
-        unblock_groups(job);
+        complete_task(job, run.run.task.group, run.run.task.index);
         if (is_complete(job))
         {
             end_job(run.run.task.job, job_outcome::completed, {}, "completed",
