Refuse executor entries with members missing or invalid

Callers saw a task run twice at a time: an entry of another writer without version, slots, cold_remaining_ms, sequence and labels, under the id of a busy executor, was taken for the executor's own.

Cause: decode_executor checked the members that it uses, and the types of the others only if they were there.

Ruled out: that sound entries lack any of these.

Four unit tests built entries without slots or sequence to set up other cases; they write whole entries now and check what they checked. failure.odd_entries takes out each member in turn (before: five of them).

--- a/tests/failure/test_odd_entries.py
+++ b/tests/failure/test_odd_entries.py
@@ -21,7 +21,8 @@
     for number in ["1e999", "-1", "1.5", "18446744073709551616"]:
         yield text.replace("64000", number).encode()
         yield text.replace(str(entry["born"]), number).encode()
-    for field in ["address", "service", "zone", "state", "capacity"]:
+    for field in ["address", "service", "zone", "version", "slots", "state",
+                  "cold_remaining_ms", "sequence", "capacity", "labels"]:
         yield json.dumps({key: value for key, value in entry.items()
                           if key != field}).encode()
     for depth in [100, 10_000, 100_000]:
--- a/tests/fuzz/platform_inputs.hpp
+++ b/tests/fuzz/platform_inputs.hpp
@@ -4,9 +4,12 @@
 #include "platform/configuration_codec.hpp"
 #include "platform/executor_codec.hpp"
 #include "platform/job_codec.hpp"
+#include "platform/json_document.hpp"
 #include "platform/record_codec.hpp"
 
 #include <algorithm>
+#include <array>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -29,16 +32,28 @@
 inline constexpr std::uint64_t max_exact_integer =
     (std::uint64_t{1} << 53U) - 1;
 
-// Orders can be sent to a decoded executor.
-inline void run_executor_entry(std::string_view bytes)
+/// The members of an entry by the platform's page.
+inline constexpr std::array<std::string_view, 10> entry_members = {
+    "service", "address",           "zone",     "version",  "slots",
+    "state",   "cold_remaining_ms", "sequence", "capacity", "labels"};
+
+inline std::optional<core::executor_description>
+decode_entry(std::string_view bytes)
 {
-    auto const executor = adapter::decode_executor(
+    return adapter::decode_executor(
         "e1", bytes,
         [](std::string_view name)
         {
             return name == "north" ? std::optional{core::domain_id{1}}
                                    : std::nullopt;
         });
+}
+
+// Orders can be sent to a decoded executor, and an entry that lacks a member is
+// never decoded.
+inline void run_executor_entry(std::string_view bytes)
+{
+    auto const executor = decode_entry(bytes);
     if (!executor)
     {
         return;
@@ -49,6 +64,15 @@
     require_decoded(!executor->service.empty(), "no service");
     require_decoded(executor->incarnation <= max_exact_integer,
                     "start time out of range");
+    auto const whole = adapter::detail::parse_document(bytes);
+    for (auto const member : entry_members)
+    {
+        auto partial = whole;
+        require_decoded(partial.erase(std::string{member}) == 1,
+                        "member is missing");
+        require_decoded(!decode_entry(partial.dump()),
+                        "entry without a member is decoded");
+    }
 }
 
 inline void run_poll_answer(std::string_view bytes)
--- a/tests/unit/executor_directory.cpp
+++ b/tests/unit/executor_directory.cpp
@@ -29,7 +29,8 @@
             R"({"service":"desk","address":"127.0.0.1:9000","zone":"north",)"
             R"("version":"v1","slots":8,"state":"ready",)"
             R"("cold_remaining_ms":0,"sequence":1,"born":99,)"
-            R"("capacity":{"cpu":16000,"mem_mb":1024},"labels":["a","r1"]})"};
+            R"("capacity":{"cpu":16000,"mem_mb":1024,"gpus":0},)"
+            R"("labels":["a","r1"]})"};
 }
 
 // Guards against removing executors that are alive, and against keeping
--- a/tests/unit/platform_codecs.cpp
+++ b/tests/unit/platform_codecs.cpp
@@ -237,6 +237,7 @@
     static std::string executor_entry()
     {
         return R"({"service":"s","address":"10.1.0.9:80","zone":"north",)"
+               R"("version":"v1","slots":8,"cold_remaining_ms":0,)"
                R"("state":"draining","capacity":{"cpu":16000,"mem_mb":32768,)"
                R"("gpus":0},"labels":["a","r1-3"],"born":99,"sequence":4})";
     }
--- a/tests/unit/relisted_executor.cpp
+++ b/tests/unit/relisted_executor.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestgate/app/entry/executor_directory.hpp"
+#include "support/executor_entries.hpp"
 #include "support/fleet_owner.hpp"
 
 #include <cppunit/TestFixture.h>
@@ -77,12 +78,7 @@
     static adapter::keyed_record
     make_record(executor_description const& description)
     {
-        return {description.name,
-                R"({"service":"desk","zone":"north","state":"ready",)"
-                R"("capacity":{"cpu":64000,"mem_mb":65536},"labels":["a"],)"
-                R"("address":")" +
-                    description.address + R"(","born":)" +
-                    std::to_string(description.incarnation) + "}"};
+        return {description.name, tests::format_entry(description)};
     }
 };
 
--- a/tests/unit/roster_entry_order.cpp
+++ b/tests/unit/roster_entry_order.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestgate/app/entry/executor_directory.hpp"
+#include "support/executor_entries.hpp"
 #include "support/fleet_owner.hpp"
 
 #include <cppunit/TestFixture.h>
@@ -78,17 +79,12 @@
 
 private:
     static adapter::keyed_record
-    make_record(executor_description const& description, int millicores,
-                std::uint64_t offset)
+    make_record(executor_description const& description,
+                std::uint32_t millicores, std::uint64_t offset)
     {
-        return {description.name,
-                R"({"service":"desk","zone":"north","state":"ready",)"
-                R"("capacity":{"cpu":)" +
-                    std::to_string(millicores) +
-                    R"(,"mem_mb":65536},"labels":["a"],"address":")" +
-                    description.address + R"(","born":)" +
-                    std::to_string(description.incarnation) + "}",
-                offset};
+        auto listed = description;
+        listed.capacity.cpu_millicores = millicores;
+        return {description.name, tests::format_entry(listed), offset};
     }
 };
 
