Keep a busy executor whose entry another writer has replaced

Callers saw capacity go: 2.6 s after another writer had replaced the entry of a busy executor, the executor was removed and got no new tasks, although it answered all the while, if it couldn't write its own entry again in that time.

Cause: the directory counts an odd entry as a missing one. Decided: an odd entry removes no executor that has runs and has answered within the time of a lease. After a deletion the 2.6 s begin with the deletion.

The time of the last answer is taken.

--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -11,7 +11,8 @@
 namespace goldcrestgate::app
 {
 
-/// @brief Callbacks for changes of the executors of a failure domain.
+/// @brief Callbacks for changes of the executors of a failure domain, and the
+/// question that their list depends on.
 struct directory_callbacks
 {
     /// An executor was added or its description has changed.
@@ -22,6 +23,8 @@
     /// An entry of the store names no executor to use; an executor that is
     /// known under its key counts as missing.
     std::function<void(std::string_view name)> on_invalid_entry;
+    /// Returns whether an executor has runs and answers; if empty, none has.
+    std::function<bool(core::executor_id)> is_busy{};
 };
 
 /// @brief Maintains the list of a failure domain's executors from their entries
@@ -29,7 +32,10 @@
 ///
 /// The store drops entries during an outage, and executors write them again
 /// within 2 s after its end. An executor is therefore removed only after its
-/// entry has been missing for some time while the store could be read.
+/// entry has been missing for some time while the store could be read. An entry
+/// of another writer under an executor's name changes nothing that is known of
+/// it; the executor's own entry counts as missing then, but as long as the
+/// executor has runs and answers it is not removed.
 ///
 /// @par Thread safety
 /// Not safe; all members must be called from one thread.
@@ -99,6 +105,8 @@
         std::optional<core::time_point> missing_since;
         /// Offset of the last record of the entry in the store.
         std::optional<std::uint64_t> offset;
+        /// Whether the entry is missing because another writer has replaced it.
+        bool replaced = false;
     };
 
     struct removed_id
@@ -109,7 +117,9 @@
 
     void apply_record(adapter::keyed_record const& record,
                       core::time_point now);
-    void mark_missing(std::string const& name, core::time_point now);
+    static void mark_missing(entry& known, bool replaced, core::time_point now);
+    [[nodiscard]] bool is_expired(entry const& known,
+                                  core::time_point now) const;
     entry& add(core::executor_description const& description);
     void remove(std::string const& name, core::executor_id id,
                 core::time_point now);
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -111,6 +111,10 @@
     /// tasks.
     void unlist(executor_id executor, time_point now);
 
+    /// @brief Returns whether an executor has runs of this owner and has
+    /// answered an order within the time of a lease.
+    [[nodiscard]] bool is_busy(executor_id executor, time_point now) const;
+
     /// @brief Returns the executors that are no longer listed and may have
     /// runs, marked as draining, so that they get no new ones.
     [[nodiscard]] std::vector<executor_description> unlisted_executors() const;
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -182,6 +182,10 @@
                log_.write(
                    log_line{log_level::warning, "executor_entry_refused"}.text(
                        "executor", name));
+           },
+           [this](core::executor_id id)
+           {
+               return scheduler_.is_busy(id, loop_.now());
            }})
     , store_(loop, detail::checked_address(settings.store_address))
     , configuration_watch_(loop, store_, adapter::topic::configuration,
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -41,9 +41,9 @@
     }
     for (auto& [name, known] : entries_)
     {
-        if (!present.contains(name) && !known.missing_since)
+        if (!present.contains(name))
         {
-            known.missing_since = now;
+            mark_missing(known, false, now);
         }
     }
     apply_changes(page, now);
@@ -74,25 +74,24 @@
     {
         known->second.offset = record.offset;
     }
-    if (!record.value)
-    {
-        mark_missing(record.key, now);
-        return;
-    }
-    auto description =
-        adapter::decode_executor(record.key, *record.value, domains_);
+    auto const description =
+        record.value
+            ? adapter::decode_executor(record.key, *record.value, domains_)
+            : std::nullopt;
+    bool const is_odd = record.value && !description;
     // An entry of another writer, or for another failure domain, does not name
     // the executor that is known under its key.
-    if (!description || description->domain != own_domain_)
+    if (known != entries_.end() &&
+        (!description || description->domain != own_domain_))
     {
-        mark_missing(record.key, now);
+        mark_missing(known->second, is_odd, now);
     }
-    if (!description)
+    if (is_odd)
     {
         callbacks_.on_invalid_entry(record.key);
         return;
     }
-    if (description->domain != own_domain_)
+    if (!description || description->domain != own_domain_)
     {
         return;
     }
@@ -106,20 +105,35 @@
     }
     auto& stored = known->second;
     stored.missing_since.reset();
+    stored.replaced = false;
     if (!follows_roster_)
     {
         update(stored, *description);
     }
 }
 
-void executor_directory::mark_missing(std::string const& name,
+void executor_directory::mark_missing(entry& known, bool replaced,
                                       core::time_point now)
 {
-    auto const known = entries_.find(name);
-    if (known != entries_.end() && !known->second.missing_since)
+    bool const is_deleted_now = known.replaced && !replaced;
+    if (!known.missing_since || is_deleted_now)
     {
-        known->second.missing_since = now;
+        known.missing_since = now;
     }
+    known.replaced = replaced;
+}
+
+bool executor_directory::is_expired(entry const& known,
+                                    core::time_point now) const
+{
+    bool const is_overdue =
+        known.missing_since && store_readable_since_ &&
+        now - std::max(*known.missing_since, *store_readable_since_) >
+            missing_entry_timeout;
+    // What another writer has written says nothing about the executor.
+    bool const is_kept =
+        known.replaced && callbacks_.is_busy && callbacks_.is_busy(known.id);
+    return is_overdue && !is_kept;
 }
 
 void executor_directory::update(entry& known,
@@ -239,11 +253,7 @@
     std::erase_if(entries_,
                   [this, now](auto const& item)
                   {
-                      auto const& missing = item.second.missing_since;
-                      bool const expired =
-                          missing &&
-                          now - std::max(*missing, *store_readable_since_) >
-                              missing_entry_timeout;
+                      bool const expired = is_expired(item.second, now);
                       if (expired)
                       {
                           remove(item.first, item.second.id, now);
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -191,6 +191,16 @@
     }
 }
 
+// Executors with runs answer a poll at least every 0.4 s.
+bool job_scheduler::is_busy(executor_id executor, time_point now) const
+{
+    auto const found = state_.executors.find(executor);
+    return state_.owner && found != state_.executors.end() &&
+           !found->second.runs.empty() &&
+           detail::scheduler_state::answered_since(
+               found->second, now - state_.lease_expiry_time());
+}
+
 std::vector<executor_description> job_scheduler::unlisted_executors() const
 {
     std::vector<executor_description> unlisted;
