Refuse an entry that gives a known executor an unnamed service

Callers saw a task run twice at a time: an entry of another writer for the service desk-2, which no configuration names, replaced the entry of a busy executor of desk; its address counted as a move.

Cause: any text was taken for a service. Now an entry with another service than the known one, which neither a route nor the list of services of the configuration names, is odd: it is logged as refused and changes nothing. An executor keeps a service that a later configuration removes, so that its draining is followed; before the first configuration each service counts as named. An unknown executor is listed under any service, as a later configuration may name it; no job has the service until then.

--- a/include/goldcrestgate/app/entry/executor_directory.hpp
+++ b/include/goldcrestgate/app/entry/executor_directory.hpp
@@ -12,7 +12,7 @@
 {
 
 /// @brief Callbacks for changes of the executors of a failure domain, and the
-/// question that their list depends on.
+/// questions that their list depends on.
 struct directory_callbacks
 {
     /// An executor was added or its description has changed.
@@ -25,6 +25,9 @@
     std::function<void(std::string_view name)> on_invalid_entry;
     /// Returns whether an executor has runs and answers; if empty, none has.
     std::function<bool(core::executor_id)> is_busy{};
+    /// Returns whether a configuration names a service; if empty, each counts
+    /// as named.
+    std::function<bool(std::string_view service)> names_service{};
 };
 
 /// @brief Maintains the list of a failure domain's executors from their entries
@@ -33,7 +36,8 @@
 /// The store drops entries during an outage, and executors write them again
 /// within 2 s after its end. An executor is therefore removed only after its
 /// entry has been missing for some time while the store could be read. An entry
-/// of another writer under an executor's name changes nothing that is known of
+/// of another writer under an executor's name, or for another service that no
+/// configuration names, changes nothing that is known of
 /// it; the executor's own entry counts as missing then, but as long as the
 /// executor has runs and answers it is not removed.
 ///
@@ -117,6 +121,11 @@
 
     void apply_record(adapter::keyed_record const& record,
                       core::time_point now);
+    /// Decodes an entry that names an executor to use, given what is known
+    /// under its name.
+    [[nodiscard]] std::optional<core::executor_description>
+    decode(std::string const& name, std::string_view value,
+           entry const* known) const;
     static void mark_missing(entry& known, bool replaced, core::time_point now);
     [[nodiscard]] bool is_expired(entry const& known,
                                   core::time_point now) const;
--- a/include/goldcrestgate/core/leasing/route_table.hpp
+++ b/include/goldcrestgate/core/leasing/route_table.hpp
@@ -36,6 +36,8 @@
 {
     std::uint64_t version = 0;
     std::vector<job_route> routes;
+    /// Names of the services, also of those without a route.
+    std::vector<std::string> services;
 
     /// @brief Returns the route of the host with the longest matching path
     /// prefix, or null.
@@ -44,6 +46,12 @@
     /// Safe for concurrent readers.
     [[nodiscard]] job_route const* find(std::string_view host,
                                         std::string_view path) const;
+
+    /// @brief Returns whether the configuration names a service. Without a
+    /// configuration (version 0) each service counts as named.
+    /// @par Thread safety
+    /// Safe for concurrent readers.
+    [[nodiscard]] bool names_service(std::string_view service) const;
 };
 
 /// @brief Sets the service, priority, attempts and time limits of a job from
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -186,6 +186,10 @@
            [this](core::executor_id id)
            {
                return scheduler_.is_busy(id, loop_.now());
+           },
+           [this](std::string_view service)
+           {
+               return routes_.names_service(service);
            }})
     , store_(loop, detail::checked_address(settings.store_address))
     , configuration_watch_(loop, store_, adapter::topic::configuration,
--- a/src/app/entry/executor_directory.cpp
+++ b/src/app/entry/executor_directory.cpp
@@ -76,7 +76,8 @@
     }
     auto const description =
         record.value
-            ? adapter::decode_executor(record.key, *record.value, domains_)
+            ? decode(record.key, *record.value,
+                     known == entries_.end() ? nullptr : &known->second)
             : std::nullopt;
     bool const is_odd = record.value && !description;
     // An entry of another writer, or for another failure domain, does not name
@@ -112,6 +113,23 @@
     }
 }
 
+std::optional<core::executor_description>
+executor_directory::decode(std::string const& name, std::string_view value,
+                           entry const* known) const
+{
+    auto description = adapter::decode_executor(name, value, domains_);
+    // An executor keeps a service that a later configuration no longer names.
+    bool const is_other_service =
+        description && known != nullptr &&
+        description->service != known->description.service;
+    if (is_other_service && callbacks_.names_service &&
+        !callbacks_.names_service(description->service))
+    {
+        description.reset();
+    }
+    return description;
+}
+
 void executor_directory::mark_missing(entry& known, bool replaced,
                                       core::time_point now)
 {
--- a/src/core/leasing/route_table.cpp
+++ b/src/core/leasing/route_table.cpp
@@ -24,6 +24,14 @@
     return best;
 }
 
+bool route_table::names_service(std::string_view service) const
+{
+    return version == 0 ||
+           std::ranges::find(services, service) != services.end() ||
+           std::ranges::find(routes, service, &job_route::service) !=
+               routes.end();
+}
+
 void apply_route(job_route const& route, std::optional<duration> caller_wait,
                  leased_job& job)
 {
--- a/tests/unit/replaced_executor_entry.cpp
+++ b/tests/unit/replaced_executor_entry.cpp
@@ -1,10 +1,12 @@
 #include "goldcrestgate/app/entry/executor_directory.hpp"
+#include "platform/configuration_codec.hpp"
 #include "support/executor_entries.hpp"
 #include "support/fleet_owner.hpp"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +36,10 @@
     CPPUNIT_TEST(silent_executor_is_removed);
     CPPUNIT_TEST(idle_executor_is_removed);
     CPPUNIT_TEST(busy_executor_without_an_entry_is_removed);
+    CPPUNIT_TEST(entry_for_an_unnamed_service_moves_no_run);
+    CPPUNIT_TEST(entry_for_a_named_service_is_followed);
+    CPPUNIT_TEST(entry_for_a_removed_service_is_followed);
+    CPPUNIT_TEST(services_of_a_configuration_are_named);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -65,7 +71,14 @@
                 [this](executor_id id)
                 {
                     return owner_->scheduler.is_busy(id, fleet_->now());
+                },
+                [this](std::string_view service)
+                {
+                    return routes_.names_service(service);
                 }});
+        routes_ = {};
+        routes_.version = 7;
+        routes_.services = {"desk", "bay"};
         adapter::topic_page page;
         for (auto const id : fleet_->ids())
         {
@@ -130,7 +143,67 @@
         CPPUNIT_ASSERT(!directory_->find(gone.key));
     }
 
+    // Guards against two runs of a task at a time: a whole entry with another
+    // address counts as a move.
+    void entry_for_an_unnamed_service_moves_no_run()
+    {
+        auto const id = start_long_run();
+        auto other = fleet_->description(id);
+        other.service = "desk-2";
+        other.address = "127.0.0.1:8000";
+        apply({other.name, tests::format_entry(other), {}});
+        pass(milliseconds{1500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refused_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet_->starts(job_));
+        CPPUNIT_ASSERT(is_known(fleet_->description(id)));
+    }
+
+    // Guards against an executor that is not used after it has changed its
+    // service.
+    void entry_for_a_named_service_is_followed()
+    {
+        auto other = fleet_->description(executor_id{1});
+        other.service = "bay";
+        apply({other.name, tests::format_entry(other), {}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, refused_);
+        CPPUNIT_ASSERT(is_known(other));
+    }
+
+    // Guards against tasks for an executor that drains after its service was
+    // removed from the configuration.
+    void entry_for_a_removed_service_is_followed()
+    {
+        ++routes_.version;
+        routes_.services = {"bay"};
+        auto draining = fleet_->description(executor_id{1});
+        draining.draining = true;
+        apply({draining.name, tests::format_entry(draining), {}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, refused_);
+        CPPUNIT_ASSERT(is_known(draining));
+    }
+
+    // Guards against executors that are refused for a service which the
+    // configuration names without a route, or with a route alone.
+    void services_of_a_configuration_are_named()
+    {
+        CPPUNIT_ASSERT(route_table{}.names_service("desk"));
+        auto const table = adapter::decode_configuration(
+            R"({"version":7,"routes":[{"hostname":"h","path_prefix":"/p/",)"
+            R"("timeout_ms":1500,"service":"desk"}],)"
+            R"("services":[{"name":"bay"},{"name":1},2]})");
+        CPPUNIT_ASSERT(table);
+        CPPUNIT_ASSERT(table->names_service("desk"));
+        CPPUNIT_ASSERT(table->names_service("bay"));
+        CPPUNIT_ASSERT(!table->names_service("desk-2"));
+    }
+
 private:
+    [[nodiscard]] bool is_known(executor_description const& description) const
+    {
+        auto const all = directory_->descriptions();
+        return std::ranges::find(all, description) != all.end();
+    }
+
     [[nodiscard]] adapter::keyed_record record(executor_id id) const
     {
         auto const description = fleet_->description(id);
@@ -176,6 +249,7 @@
     std::unique_ptr<executor_fleet> fleet_;
     std::unique_ptr<fleet_owner> owner_;
     std::unique_ptr<app::executor_directory> directory_;
+    route_table routes_;
     std::size_t refused_ = 0;
 };
 
