Keep the runs of a moved executor until its lease has ended

Callers saw a task run twice at a time after a whole entry with another address under the id of a busy executor: the tasks started elsewhere at once, while the process at the earlier address worked on them until its lease ended.

Cause: job_scheduler::list called lose_executor for another address, which drops the recorded runs. It takes the path of a restart now: the runs stay recorded until the process at the new address has listed what runs, or the lease has surely ended. The answer of that process under the same id shows that the earlier one has ended (the id "appears nowhere else"); another executor at the address answers 421 to the poll, which ends nothing.

Ruled out: to go on polling at the earlier address; a process that has moved leaves nothing there.

The log names such a loss `restarted`.

--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -153,13 +153,9 @@
         !is_new && executor.description.incarnation != named_incarnation;
     bool const relabelled =
         is_new || executor.description.labels != description.labels;
-    if (moved)
-    {
-        state_.lose_executor(executor, "moved",
-                             {"store_entry", named_incarnation}, context);
-        executor.health = {};
-    }
-    else if (restarted)
+    // The process at the earlier address may live until its lease ends, if the
+    // entry is wrong; its runs stay recorded as after a restart.
+    if (moved || restarted)
     {
         state_.restart_executor(executor, {"store_entry", named_incarnation},
                                 context);
