Take no refused stop for the end of a moved executor's runs

After a whole entry with another address, where another executor listens, callers would have seen a task run twice at a time: its answer 421 to a stop dropped all runs that were recorded at the earlier address.

Cause: stop_answered handled 421 as the loss of the executor also while the process at the address had accepted no order yet.

Ruled out: answers to starts; a start is sent to claimed executors only, so that a refusal is by the process at the earlier address.

Evidence: refused_stop_at_the_address_ends_no_other_run of unit.moved_executor_lease fails without the check (2 duplicate runs) and passes with it.

--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -330,7 +330,12 @@
     auto& [executor, run] = *answered;
     run.stop_in_flight = false;
     bool const superseded = is_superseded(answer.order, answer.outcome);
-    if (!superseded && handle_executor_loss(executor, answer.outcome, context))
+    // Another executor at the address of one that has moved says nothing of the
+    // process at its earlier address.
+    bool const is_unrelated =
+        answer.outcome == order_outcome::other_incarnation && !executor.claimed;
+    if (!superseded && !is_unrelated &&
+        handle_executor_loss(executor, answer.outcome, context))
     {
         return;
     }
--- a/tests/unit/moved_executor_lease.cpp
+++ b/tests/unit/moved_executor_lease.cpp
@@ -3,6 +3,9 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+#include <vector>
+
 namespace
 {
 
@@ -21,6 +24,7 @@
     CPPUNIT_TEST(runs_start_elsewhere_after_the_lease);
     CPPUNIT_TEST(runs_that_the_process_lists_go_on);
     CPPUNIT_TEST(other_executor_at_the_address_ends_no_run);
+    CPPUNIT_TEST(refused_stop_at_the_address_ends_no_other_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +70,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.duplicate_runs);
     }
 
+    // Guards against taking the refusal of a stop by another executor at the
+    // new address for the end of the runs at the earlier one.
+    void refused_stop_at_the_address_ends_no_other_run()
+    {
+        auto const id = start_run();
+        owner_.submit(2, 1, milliseconds{500});
+        fleet_.run_for(milliseconds{20});
+        auto const stopped = owner_.start_orders.back();
+        CPPUNIT_ASSERT(stopped.executor == id);
+        move(id);
+        fleet_.behaviour(id).replaced = true;
+        std::vector<scheduler_action> out;
+        owner_.scheduler.stop_answered({order_id{1'000'000}, id, stopped.run,
+                                        order_outcome::other_incarnation,
+                                        std::nullopt},
+                                       fleet_.now(), out);
+        owner_.apply(out);
+        fleet_.run_for(milliseconds{2500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.duplicate_runs);
+    }
+
 private:
     /// Starts a run of 5 s; returns its executor.
     executor_id start_run()
