--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -154,13 +154,9 @@
         !is_new && executor.description.incarnation != named_incarnation;
     bool const relabelled =
         is_new || executor.description.labels != description.labels;
-    if (moved)
-    {
-        state_.lose_executor(executor, "moved",
-                             {"store_entry", named_incarnation}, context);
-        executor.health = {};
-    }
-    else if (restarted)
+    // The process at the earlier address may live until its lease ends, if the
+    // entry is wrong; its runs stay recorded as after a restart.
+    if (moved || restarted)
     {
         state_.restart_executor(executor, {"store_entry", named_incarnation},
                                 context);
@@ -197,6 +193,16 @@
     }
 }
 
+// Executors with runs answer a poll at least every 0.4 s.
+bool job_scheduler::is_busy(executor_id executor, time_point now) const
+{
+    auto const found = state_.executors.find(executor);
+    return state_.owner && found != state_.executors.end() &&
+           !found->second.runs.empty() &&
+           detail::scheduler_state::answered_since(
+               found->second, now - state_.lease_expiry_time());
+}
+
 std::vector<executor_description> job_scheduler::unlisted_executors() const
 {
     std::vector<executor_description> unlisted;
