Prove crashes of executors whose next process has another name

A refusal by another process, or a new entry at the address, now ends the recorded process; the crash is judged when the new process has answered, by its clock, or stays a suspicion after 2 s. Answers of other processes no longer set the recorded clock.

unit.crashes_without_proof has the case (crash_of_renamed_executors_is_proven) and plays the series of crashes with renamed executors too.

--- a/include/goldcrestgate/core/leasing/detail/executor_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/executor_record.hpp
@@ -71,6 +71,8 @@
     possible_crash crash;
     /// Time at which it is confirmed, unless it is shared.
     time_point due{};
+    /// Time until which the start of the next process may become known.
+    time_point expires_at{};
 };
 
 /// @brief A run that may be on an executor.
@@ -185,6 +187,8 @@
     std::vector<possible_crash> possible_crashes;
     /// End of the latest process that ended.
     std::optional<process_end> last_process_end;
+    /// Executor that had the address before; its process has ended.
+    std::optional<executor_id> predecessor;
     executor_health health;
 
     /// Capacity that no run uses.
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -323,9 +323,12 @@
     /// Records that the executor's process has ended.
     /// @pre its runs are still recorded
     static void record_process_end(executor_record& executor, time_point now);
+    /// Records that a new executor has the address of others, whose processes
+    /// have ended.
+    void record_successor(executor_record& successor, time_point now);
     /// Records the start of the process that has answered, if it is a new one.
-    static void record_process_start(executor_record& executor,
-                                     poll_answer const& answer, time_point now);
+    void record_process_start(executor_record& executor,
+                              poll_answer const& answer, time_point now);
     /// Refutes the possible crashes of the process that has answered; those of
     /// earlier processes await the news of other executors.
     void resolve_crashes(executor_record& executor, poll_answer const& answer,
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -183,6 +183,7 @@
     }
     if (is_new)
     {
+        state_.record_successor(executor, now);
         executor.last_uncertain_order = order_id{state_.last_order};
         executor.lease_expires_at = now + state_.lease_expiry_time();
         executor.usable_at = state_.owner ? now + roster_delay : now;
--- a/src/core/leasing/scheduler_crashes.cpp
+++ b/src/core/leasing/scheduler_crashes.cpp
@@ -19,6 +19,9 @@
 /// read every 300 ms, and a new process writes its own first.
 constexpr duration crash_settle_time = std::chrono::milliseconds{700};
 
+/// Time for the next process at the address to be listed and to answer.
+constexpr duration next_process_timeout = std::chrono::seconds{2};
+
 /// A crash is shared if one of this number of the other executors crashed in
 /// the same moment, but at least the minimum number, or all of them.
 constexpr std::uint64_t shared_crash_divisor = 16;
@@ -224,15 +227,50 @@
     executor.last_process_end = process_end{now, std::nullopt, had_suspect};
 }
 
+void scheduler_state::record_successor(executor_record& successor,
+                                       time_point now)
+{
+    for (auto& [id, executor] : executors)
+    {
+        if (id == successor.id ||
+            executor.description.address != successor.description.address)
+        {
+            continue;
+        }
+        successor.predecessor = id;
+        if (!executor.last_process_end || executor.last_process_end->next_start)
+        {
+            record_process_end(executor, now);
+        }
+    }
+}
+
 void scheduler_state::record_process_start(executor_record& executor,
                                            poll_answer const& answer,
                                            time_point now)
 {
-    auto& ended = executor.last_process_end;
-    if (ended && !ended->next_start && answer.clock)
+    if (!answer.clock)
+    {
+        return;
+    }
+    auto const started = now - std::chrono::milliseconds{answer.clock->value()};
+    auto const record_start = [started](executor_record& restarted)
+    {
+        auto& ended = restarted.last_process_end;
+        if (ended && !ended->next_start)
+        {
+            ended->next_start = started;
+        }
+    };
+    record_start(executor);
+    if (executor.predecessor)
     {
-        ended->next_start =
-            now - std::chrono::milliseconds{answer.clock->value()};
+        auto const earlier = executors.find(*executor.predecessor);
+        if (earlier != executors.end())
+        {
+            record_start(earlier->second);
+        }
+        executor.predecessor.reset();
     }
 }
 
@@ -314,8 +352,9 @@
     }
     record_crash(executor, crash, crash_state::suspected, "crash_found",
                  context);
-    unsettled_crashes.push_back(
-        {executor.id, crash, context.now + crash_settle_time});
+    unsettled_crashes.push_back({executor.id, crash,
+                                 context.now + crash_settle_time,
+                                 context.now + next_process_timeout});
 }
 
 void scheduler_state::settle_crashes(scheduler_context& context)
@@ -336,11 +375,15 @@
             record_crash(found->second, crash, crash_state::shared,
                          "crash_shared", context);
         }
-        else if (context.now < unsettled.due)
+        else if (context.now < (found->second.last_process_end->next_start
+                                    ? unsettled.due
+                                    : unsettled.expires_at))
         {
             left.push_back(unsettled);
         }
-        else if (!crash.is_run_confirmed())
+        else if (!crash.is_run_confirmed() ||
+                 found->second.description.draining ||
+                 !found->second.last_process_end->next_start)
         {
             record_crash(found->second, crash, crash_state::suspected,
                          "crash_unproven", context);
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -164,7 +164,8 @@
         return std::nullopt;
     }
     auto& executor = found->second;
-    if (was_sent_to_present_process(executor, answer.order))
+    if (answer.outcome != order_outcome::other_incarnation &&
+        was_sent_to_present_process(executor, answer.order))
     {
         record_clock(executor, answer.clock, now);
         if (answer.outcome == order_outcome::accepted)
@@ -443,7 +444,10 @@
     {
         return;
     }
-    record_process_end(executor, context.now);
+    if (!executor.last_process_end || executor.last_process_end->next_start)
+    {
+        record_process_end(executor, context.now);
+    }
     executor.last_uncertain_order = order_id{last_order};
     // Another executor refuses late orders by the name that they carry.
     executor.unanswered_starts.clear();
@@ -462,6 +466,10 @@
     {
         suspect_crashes(executor, runs, context);
     }
+    for (auto const& crash : std::exchange(executor.possible_crashes, {}))
+    {
+        await_other_crashes(executor, crash, context);
+    }
 }
 
 } // namespace detail
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -36,6 +36,23 @@
     aliases_[alias] = id;
 }
 
+executor_description executor_fleet::supersede(executor_id id,
+                                               executor_id successor)
+{
+    superseded_.insert(id);
+    for (auto const& [earlier, target] : aliases_)
+    {
+        if (target == id)
+        {
+            superseded_.insert(earlier);
+        }
+    }
+    aliases_[successor] = id;
+    auto described = executors_.at(id).description;
+    described.name = "e" + std::to_string(successor.value());
+    return described;
+}
+
 executor_fleet::simulated_executor& executor_fleet::target_of(executor_id id)
 {
     auto const alias = aliases_.find(id);
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -90,6 +90,13 @@
     /// @brief Gives an executor another id, under which it receives orders too.
     void add_alias(core::executor_id alias, core::executor_id id);
 
+    /// @brief Gives the present process of an executor a new id and name,
+    /// at the same address; it refuses orders under the earlier ids.
+    /// @pre the id is one of @ref ids
+    /// @return the description of the process
+    core::executor_description supersede(core::executor_id id,
+                                         core::executor_id successor);
+
     /// @brief Restarts an executor's process under its id and at its address:
     /// its runs, its memory and its clock are lost. Orders on their way reach
     /// the new process; polls that wait get no answer.
@@ -251,6 +258,8 @@
     std::set<core::leased_task> acknowledged_as_done_;
     std::set<core::leased_task> acknowledged_with_lease_;
     std::map<core::executor_id, core::executor_id> aliases_;
+    /// Ids of processes that have ended, with a successor of another id.
+    std::set<core::executor_id> superseded_;
     std::set<core::leased_task> crashing_tasks_;
     std::map<core::leased_task, task_history> histories_;
 };
--- a/tests/support/executor_fleet_orders.cpp
+++ b/tests/support/executor_fleet_orders.cpp
@@ -153,7 +153,9 @@
                      answer_with_timeout();
                      return;
                  }
-                 auto const outcome = target.behaviour.replaced
+                 bool const is_refused = target.behaviour.replaced ||
+                                         superseded_.contains(order.executor);
+                 auto const outcome = is_refused
                                           ? order_outcome::other_incarnation
                                           : start(target, order, false);
                  auto const read = clock(target);
@@ -227,7 +229,9 @@
                      answer_with_timeout();
                      return;
                  }
-                 auto const outcome = stop(target, order);
+                 auto const outcome = superseded_.contains(order.executor)
+                                          ? order_outcome::other_incarnation
+                                          : stop(target, order);
                  answer({order.order, order.executor, order.run, outcome,
                          clock(target)});
              });
@@ -242,7 +246,8 @@
 void executor_fleet::receive_poll(simulated_executor& target,
                                   poll_executor const& order)
 {
-    if (target.behaviour.replaced || order.token.value() < target.token)
+    if (target.behaviour.replaced || superseded_.contains(order.executor) ||
+        order.token.value() < target.token)
     {
         return;
     }
@@ -273,7 +278,7 @@
     poll_answer answer;
     answer.order = order.order;
     answer.executor = order.executor;
-    if (target.behaviour.replaced)
+    if (target.behaviour.replaced || superseded_.contains(order.executor))
     {
         answer.outcome = order_outcome::other_incarnation;
         return answer;
--- a/tests/unit/crashes_without_proof.cpp
+++ b/tests/unit/crashes_without_proof.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(move_of_a_living_executor_fails_no_job);
     CPPUNIT_TEST(crash_seen_by_two_owners_counts_once);
     CPPUNIT_TEST(crashes_before_the_answer_to_the_start_are_bounded);
+    CPPUNIT_TEST(crash_of_renamed_executors_is_proven);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,7 +103,8 @@
     {
         for (std::size_t const share_percent : {25U, 50U, 90U})
         {
-            crash_in_series(share_percent);
+            crash_in_series(share_percent, false);
+            crash_in_series(share_percent, true);
         }
     }
 
@@ -243,7 +245,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
     }
 
+    // Guards against a task that is not found because each process of its
+    // executors has a name of its own.
+    void crash_of_renamed_executors_is_proven()
+    {
+        executor_fleet fleet{12};
+        fleet_owner owner{fleet};
+        list_renamed(fleet, owner);
+        owner.start();
+        leased_task const task{first_job, 0, 0};
+        fleet.set_crashing(task);
+        owner.submit(make_patient_job(1, milliseconds{60}), milliseconds{60});
+        fleet.run_for(seconds{30});
+        CPPUNIT_ASSERT(has_outcome(owner, first_job, job_outcome::failed));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.crashes(task));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.duplicate_runs);
+    }
+
 private:
+    /// The store lists the new process of a crashed executor under a new name,
+    /// at the next reading, and its owner learns it.
+    static void list_renamed(executor_fleet& fleet, fleet_owner& owner)
+    {
+        constexpr std::uint32_t first_new_id = 1000;
+        fleet.on_restarted =
+            [&fleet, &owner, last_id = first_new_id](executor_id id) mutable
+        {
+            executor_id const successor{++last_id};
+            auto const described = fleet.supersede(id, successor);
+            fleet.schedule(milliseconds{300},
+                           [&owner, successor, described]
+                           {
+                               owner.list(successor, described);
+                           });
+        };
+    }
+
     /// The store lists the new process of a crashed executor at its owner.
     static void list_restarted(executor_fleet& fleet, fleet_owner& owner)
     {
@@ -253,14 +290,21 @@
         };
     }
 
-    static void crash_in_series(std::size_t share_percent)
+    static void crash_in_series(std::size_t share_percent, bool renamed)
     {
         constexpr std::size_t executors = 48;
         constexpr std::uint64_t jobs = 60;
         executor_fleet fleet{executors};
         fleet_owner owner{fleet};
         fleet.restart_time = milliseconds{400};
-        list_restarted(fleet, owner);
+        if (renamed)
+        {
+            list_renamed(fleet, owner);
+        }
+        else
+        {
+            list_restarted(fleet, owner);
+        }
         owner.start();
         for (std::uint64_t id = 1; id <= jobs; ++id)
         {
@@ -279,7 +323,8 @@
             fleet.run_for(milliseconds{700});
         }
         fleet.run_for(seconds{50});
-        auto const label = std::to_string(share_percent) + "% of the executors";
+        auto const label = std::to_string(share_percent) +
+                           "% of the executors" + (renamed ? ", renamed" : "");
         CPPUNIT_ASSERT_EQUAL_MESSAGE(label, std::size_t{0},
                                      fleet.duplicate_runs);
         for (std::uint64_t id = 1; id <= jobs; ++id)
