Judge crashes by executors whose state is known

Change: only executors of the service that answer are compared; a crash of most of them is shared, whatever they ran; shared goes before confirmed when reports merge; done tasks count and withhold nothing, and their late reports are ignored; refuted and shared crashes make room; after five suspected crashes a task waits until they are settled. Instances that own nothing drop old reports.

--- a/include/goldcrestgate/core/leasing/crash_ledger.hpp
+++ b/include/goldcrestgate/core/leasing/crash_ledger.hpp
@@ -25,12 +25,13 @@
 {
     /// The executor is silent, or the run may not have been there.
     suspected,
-    /// The executor was only silent.
+    /// The process that had the run has lived on.
     refuted,
-    /// Many executors crashed in the same moment, whatever they ran.
-    shared,
     /// The process that had the run ended, and few others did.
-    confirmed
+    confirmed,
+    /// Many executors crashed in the same moment, whatever they ran. An owner
+    /// that has seen this knows more than one that has not.
+    shared
 };
 
 /// @brief A crash of an executor under one run of a task.
@@ -90,8 +91,9 @@
     [[nodiscard]] bool contains(leased_task const& task,
                                 std::uint64_t id) const;
 
-    /// @brief Drops the crashes of a task that is done.
-    void forget(leased_task const& task);
+    /// @brief Drops the crashes of a task that is done; reports that are under
+    /// way do not bring them back.
+    void forget(leased_task const& task, time_point now);
 
     /// @brief Drops the crashes of tasks that have not changed for a long time,
     /// except those of open jobs.
@@ -107,9 +109,9 @@
     [[nodiscard]] bool is_withheld(leased_task const& task,
                                    time_point now) const;
 
-    /// @brief Returns whether @ref is_withheld holds for a task of the job.
-    [[nodiscard]] bool withholds_task_of(client_job_id job,
-                                         time_point now) const;
+    /// @brief Returns the tasks of the job for which @ref is_withheld holds.
+    [[nodiscard]] std::vector<leased_task> withheld_tasks(client_job_id job,
+                                                          time_point now) const;
 
     /// @brief Returns whether the task certainly crashes its executors.
     [[nodiscard]] bool is_crash_looping(leased_task const& task) const;
@@ -148,6 +150,8 @@
     [[nodiscard]] static bool is_withheld(entry const& known, time_point now);
 
     std::map<leased_task, entry> entries_;
+    /// Tasks whose crashes were dropped, and when.
+    std::map<leased_task, time_point> forgotten_;
 };
 
 } // namespace goldcrestgate::core
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -349,6 +349,10 @@
     void record_crash(executor_record const& executor,
                       possible_crash const& crash, crash_state state,
                       std::string_view event, scheduler_context& context);
+    /// Whether a task of the job that is not done must not start now.
+    [[nodiscard]] bool is_withheld(job_record const& job, time_point now) const;
+    /// Whether a crash of the executor is not settled yet.
+    [[nodiscard]] bool has_unsettled_crash(executor_id executor) const;
     /// Ends the job of tasks that crash their executors, if one of them has
     /// crashed or failed as often as its route allows.
     void end_crash_looping_job(client_job_id id, scheduler_context& context);
--- a/include/goldcrestgate/core/leasing/scheduler_actions.hpp
+++ b/include/goldcrestgate/core/leasing/scheduler_actions.hpp
@@ -56,10 +56,14 @@
     std::string_view start{};
     /// Process that had the run; 0 if it is not known.
     std::uint64_t incarnation = 0;
-    /// Executors without a run of the job that crashed in the same moment.
-    std::uint64_t other_crashes = 0;
-    /// Executors without a run of the job on an executor that crashed then.
+    /// Other executors of the service whose state is known.
+    std::uint64_t executors = 0;
+    /// Those that crashed in the same moment.
+    std::uint64_t crashes = 0;
+    /// Those without a run of the job or of a suspect.
     std::uint64_t other_executors = 0;
+    /// Those of the latter that crashed in the same moment.
+    std::uint64_t other_crashes = 0;
 };
 
 /// @brief Returns why a late run counted as ended, `not_known` if the owner did
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -46,6 +46,8 @@
 {
     line.text("start", crash.start)
         .number("incarnation", static_cast<std::int64_t>(crash.incarnation))
+        .number("crashes", static_cast<std::int64_t>(crash.crashes))
+        .number("executors", static_cast<std::int64_t>(crash.executors))
         .number("other_crashes", static_cast<std::int64_t>(crash.other_crashes))
         .number("other_executors",
                 static_cast<std::int64_t>(crash.other_executors));
--- a/src/core/leasing/crash_ledger.cpp
+++ b/src/core/leasing/crash_ledger.cpp
@@ -31,6 +31,9 @@
 
 constexpr std::uint32_t max_doublings = 6;
 
+/// Number of suspected crashes after which a task waits until they are settled.
+constexpr std::uint32_t suspicion_limit = 5;
+
 bool identifies_task(crash_count const& count)
 {
     return count.crashes >= crash_limit ||
@@ -71,6 +74,23 @@
     return count_states(observations, states);
 }
 
+/// Makes room for a crash in a given state: refuted and shared crashes do not
+/// identify a task.
+bool drop_one(std::vector<crash_observation>& observations, crash_state added)
+{
+    for (auto const state : {crash_state::refuted, crash_state::shared})
+    {
+        auto const found =
+            std::ranges::find(observations, state, &crash_observation::state);
+        if (found != observations.end() && added != state)
+        {
+            observations.erase(found);
+            return true;
+        }
+    }
+    return false;
+}
+
 duration doubled(duration first, std::uint32_t doublings)
 {
     return first * (1U << std::min(doublings, max_doublings));
@@ -85,7 +105,8 @@
                                          &crash_observation::id);
     if (found == known.observations.end())
     {
-        if (known.observations.size() == max_observed_crashes)
+        if (known.observations.size() == max_observed_crashes &&
+            !drop_one(known.observations, observation.state))
         {
             return false;
         }
@@ -115,6 +136,10 @@
 {
     for (auto const& [task, observations] : reported)
     {
+        if (forgotten_.contains(task))
+        {
+            continue;
+        }
         for (auto const& observation : observations)
         {
             merge(entries_[task], observation, now);
@@ -131,9 +156,12 @@
                found->second.observations.end();
 }
 
-void crash_ledger::forget(leased_task const& task)
+void crash_ledger::forget(leased_task const& task, time_point now)
 {
-    entries_.erase(task);
+    if (entries_.erase(task) > 0)
+    {
+        forgotten_[task] = now;
+    }
 }
 
 void crash_ledger::expire(time_point now,
@@ -145,6 +173,11 @@
                       return now - item.second.changed_at > crash_retention &&
                              !is_open(item.first.job);
                   });
+    std::erase_if(forgotten_,
+                  [now](auto const& item)
+                  {
+                      return now - item.second > 2 * report_time;
+                  });
 }
 
 bool crash_ledger::is_suspect(leased_task const& task) const
@@ -157,6 +190,10 @@
     auto const count = count_suspected(known.observations);
     if (identifies_task(count))
     {
+        if (count.crashes >= suspicion_limit)
+        {
+            return true;
+        }
         auto const doublings = count.crashes - isolated_crash_limit;
         return now < known.changed_at + doubled(suspicion_delay, doublings);
     }
@@ -171,17 +208,19 @@
     return found != entries_.end() && is_withheld(found->second, now);
 }
 
-bool crash_ledger::withholds_task_of(client_job_id job, time_point now) const
+std::vector<leased_task> crash_ledger::withheld_tasks(client_job_id job,
+                                                      time_point now) const
 {
+    std::vector<leased_task> tasks;
     for (auto item = entries_.lower_bound({job, 0, 0});
          item != entries_.end() && item->first.job == job; ++item)
     {
         if (is_withheld(item->second, now))
         {
-            return true;
+            tasks.push_back(item->first);
         }
     }
-    return false;
+    return tasks;
 }
 
 bool crash_ledger::is_crash_looping(leased_task const& task) const
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -231,9 +231,9 @@
         executor.unlisted_at = now;
     }
     executor.listed = false;
-    bool const in_use = !executor.runs.empty() ||
-                        !executor.possible_crashes.empty() ||
-                        !executor.unanswered_starts.empty();
+    bool const in_use =
+        !executor.runs.empty() || !executor.possible_crashes.empty() ||
+        state_.has_unsettled_crash(id) || !executor.unanswered_starts.empty();
     if (!state_.owner || !in_use)
     {
         state_.speeds.remove(id);
@@ -389,6 +389,15 @@
                                   std::vector<scheduler_action>& out)
 {
     state_.crashes.adopt(reported, now);
+    if (!state_.owner)
+    {
+        // The ticks of an owner do this as well.
+        state_.crashes.expire(now,
+                              [](client_job_id)
+                              {
+                                  return false;
+                              });
+    }
     scheduler_context context{now, out};
     for (auto const& crashes : reported)
     {
--- a/src/core/leasing/scheduler_crashes.cpp
+++ b/src/core/leasing/scheduler_crashes.cpp
@@ -22,26 +22,28 @@
 /// Time for the next process at the address to be listed and to answer.
 constexpr duration next_process_timeout = std::chrono::seconds{2};
 
-/// A crash is shared if one of this number of the other executors crashed in
-/// the same moment, but at least the minimum number, or all of them.
+/// A crash is shared if a sixteenth of the executors without a suspect crashed
+/// in the same moment, at least three of them or all; or most executors.
 constexpr std::uint64_t shared_crash_divisor = 16;
 constexpr std::uint64_t min_shared_crashes = 3;
+constexpr std::uint64_t min_majority = 2;
 
 /// Tolerance for the delay of answers when the start of a process is computed
 /// from its clock.
 constexpr duration process_start_tolerance = std::chrono::milliseconds{100};
 
-bool is_share_of_all(std::uint64_t crashes, std::uint64_t executors)
-{
-    auto const share =
-        (executors + shared_crash_divisor - 1) / shared_crash_divisor;
-    return crashes >= std::min(executors, std::max(min_shared_crashes, share));
-}
-
 bool is_shared(crash_evidence const& evidence)
 {
-    return evidence.other_executors > 0 &&
-           is_share_of_all(evidence.other_crashes, evidence.other_executors);
+    auto const others = evidence.other_executors;
+    auto const share =
+        (others + shared_crash_divisor - 1) / shared_crash_divisor;
+    bool const is_share_of_others =
+        others > 0 && evidence.other_crashes >=
+                          std::min(others, std::max(min_shared_crashes, share));
+    // Whatever the crashed executors ran, most of them did not crash by it.
+    bool const is_majority = evidence.crashes >= min_majority &&
+                             2 * evidence.crashes > evidence.executors;
+    return is_share_of_others || is_majority;
 }
 
 scheduler_log_event make_crash_event(std::string_view event,
@@ -72,6 +74,13 @@
     return job.groups[task.group].tasks[task.index].failures;
 }
 
+/// Returns whether the job has the task and it is not done.
+bool is_open(job_record const& job, leased_task const& task)
+{
+    return has_task(job, task) &&
+           job.groups[task.group].tasks[task.index].phase != task_phase::done;
+}
+
 bool has_run_of(executor_record const& executor, client_job_id job)
 {
     return std::ranges::any_of(executor.runs,
@@ -140,35 +149,43 @@
                std::chrono::abs(other.last_process_end->latest() - ended) <=
                    simultaneous_crash_time;
     };
-    std::set<executor_id> with_job;
+    std::vector<executor_id> with_job;
     for (auto const& unsettled : unsettled_crashes)
     {
         if (unsettled.crash.run.task.job == job)
         {
-            with_job.insert(unsettled.executor);
+            with_job.push_back(unsettled.executor);
         }
     }
-    crash_evidence all = evidence;
+    std::ranges::sort(with_job);
+    auto const& service = executor.description.service;
     for (auto const& [id, other] : executors)
     {
-        if (id == executor.id || !other.listed)
+        if (id == executor.id || !other.listed ||
+            other.description.service != service)
         {
             continue;
         }
         bool const crashed = crashed_then(other);
-        ++all.other_executors;
-        all.other_crashes += crashed ? 1 : 0;
+        // The state of an executor that does not answer is not known.
+        bool const is_known = crashed || (other.claimed && !other.unresponsive);
+        if (!is_known)
+        {
+            continue;
+        }
+        ++evidence.executors;
+        evidence.crashes += crashed ? 1 : 0;
         bool const has_suspect =
             crashed ? other.last_process_end->had_suspect
                     : std::ranges::any_of(other.runs, &run_record::isolated);
-        if (!has_suspect && !with_job.contains(id) && !has_run_of(other, job))
+        if (!has_suspect && !has_run_of(other, job) &&
+            !std::ranges::binary_search(with_job, id))
         {
             ++evidence.other_executors;
             evidence.other_crashes += crashed ? 1 : 0;
         }
     }
-    // Without sound tasks to compare with, only the number of crashes tells.
-    return evidence.other_executors == 0 ? all : evidence;
+    return evidence;
 }
 
 void scheduler_state::record_crash(executor_record const& executor,
@@ -346,7 +363,8 @@
                                           possible_crash const& crash,
                                           scheduler_context& context)
 {
-    if (!executor.last_process_end)
+    if (!executor.last_process_end ||
+        executor.last_process_end->latest() < crash.seen_at)
     {
         record_process_end(executor, context.now);
     }
@@ -405,6 +423,22 @@
     }
 }
 
+bool scheduler_state::is_withheld(job_record const& job, time_point now) const
+{
+    return std::ranges::any_of(crashes.withheld_tasks(job.job.id, now),
+                               [&job](leased_task const& task)
+                               {
+                                   return is_open(job, task);
+                               });
+}
+
+bool scheduler_state::has_unsettled_crash(executor_id executor) const
+{
+    return std::ranges::find(unsettled_crashes, executor,
+                             &unsettled_crash::executor) !=
+           unsettled_crashes.end();
+}
+
 void scheduler_state::end_crash_looping_job(client_job_id id,
                                             scheduler_context& context)
 {
@@ -418,7 +452,7 @@
     std::erase_if(tasks,
                   [&](leased_task const& task)
                   {
-                      return !has_task(job, task) ||
+                      return !is_open(job, task) ||
                              crashes.confirmed(task).crashes +
                                      failures_of(job, task) <
                                  job.job.max_attempts;
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -265,7 +265,7 @@
     if (end == run_end::done)
     {
         executor.health.record_success();
-        crashes.forget(run.run.task);
+        crashes.forget(run.run.task, context.now);
         speeds.observe(executor.id, run.estimate, spent);
     }
     auto const found = jobs.find(run.run.task.job);
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -141,8 +141,7 @@
     std::erase_if(order,
                   [this, &context](auto const& entry)
                   {
-                      return crashes.withholds_task_of(entry.second->job.id,
-                                                       context.now);
+                      return is_withheld(*entry.second, context.now);
                   });
     for (auto const& [position, job] : order)
     {
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -43,7 +43,7 @@
     for (auto const* const entry : *entries)
     {
         constexpr auto last =
-            static_cast<std::uint8_t>(core::crash_state::confirmed);
+            static_cast<std::uint8_t>(core::crash_state::shared);
         if (entry->state() <= last)
         {
             observations.push_back(
--- a/tests/unit/crash_ledger.cpp
+++ b/tests/unit/crash_ledger.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(suspected_task_may_start_again_later);
     CPPUNIT_TEST(crashes_of_open_jobs_do_not_expire);
     CPPUNIT_TEST(reports_are_bounded_and_merged_once);
+    CPPUNIT_TEST(full_entry_keeps_crashes_that_count);
+    CPPUNIT_TEST(late_report_does_not_count_for_a_done_task);
     CPPUNIT_TEST(random_merges_agree);
     CPPUNIT_TEST_SUITE_END();
 
@@ -68,8 +70,9 @@
         }
         CPPUNIT_ASSERT(ledger.is_withheld(task_of(1), start));
         CPPUNIT_ASSERT(!ledger.is_crash_looping(task_of(1)));
-        CPPUNIT_ASSERT(ledger.withholds_task_of(client_job_id{1}, start));
-        CPPUNIT_ASSERT(!ledger.withholds_task_of(client_job_id{2}, start));
+        CPPUNIT_ASSERT(std::vector{task_of(1)} ==
+                       ledger.withheld_tasks(client_job_id{1}, start));
+        CPPUNIT_ASSERT(ledger.withheld_tasks(client_job_id{2}, start).empty());
     }
 
     // Guards against more crashes than needed to identify a task.
@@ -199,6 +202,34 @@
                                  .observations.size());
     }
 
+    // Guards against refuted crashes that leave no room for those that identify
+    // a task.
+    void full_entry_keeps_crashes_that_count()
+    {
+        crash_ledger ledger;
+        for (std::uint64_t id = 1; id <= max_observed_crashes; ++id)
+        {
+            ledger.record(task_of(1), alone(id, crash_state::refuted), start);
+        }
+        for (std::uint64_t id = 101; id <= 102; ++id)
+        {
+            ledger.record(task_of(1), alone(id, crash_state::confirmed), start);
+        }
+        CPPUNIT_ASSERT(ledger.is_crash_looping(task_of(1)));
+    }
+
+    // Guards against a report under way that brings back the crashes of a task
+    // that is done.
+    void late_report_does_not_count_for_a_done_task()
+    {
+        crash_ledger ledger;
+        ledger.record(task_of(1), alone(1, crash_state::confirmed), start);
+        auto const report = ledger.report(start, is_open);
+        ledger.forget(task_of(1), start);
+        ledger.adopt(report, start + seconds{1});
+        CPPUNIT_ASSERT(!ledger.is_suspect(task_of(1)));
+    }
+
     // Guards against owners that count differently, depending on the order in
     // which they record crashes and hear of those of others.
     void random_merges_agree()
--- a/tests/unit/entry_log.cpp
+++ b/tests/unit/entry_log.cpp
@@ -79,11 +79,13 @@
     void crash_shows_its_evidence()
     {
         scheduler_log_event log_event{.event = "crash_counted"};
-        log_event.crash = {"accepted", 7, 3, 40};
+        log_event.crash = {"accepted", 7, 50, 4, 40, 3};
         auto const fields = parse(app::to_log_line(log_event, name_of));
         CPPUNIT_ASSERT_EQUAL(std::string{"accepted"},
                              fields.at("start").get<std::string>());
         CPPUNIT_ASSERT_EQUAL(7, fields.at("incarnation").get<int>());
+        CPPUNIT_ASSERT_EQUAL(4, fields.at("crashes").get<int>());
+        CPPUNIT_ASSERT_EQUAL(50, fields.at("executors").get<int>());
         CPPUNIT_ASSERT_EQUAL(3, fields.at("other_crashes").get<int>());
         CPPUNIT_ASSERT_EQUAL(40, fields.at("other_executors").get<int>());
     }
