--- a/include/goldcrestgate/core/leasing/crash_ledger.hpp
+++ b/include/goldcrestgate/core/leasing/crash_ledger.hpp
@@ -148,6 +148,12 @@
     static bool merge(entry& known, crash_observation const& observation,
                       time_point now);
     [[nodiscard]] static bool is_withheld(entry const& known, time_point now);
+    [[nodiscard]] std::span<crash_observation const>
+    observations_of(leased_task const& task) const;
+    /// Returns the tasks of the job whose entries meet a condition.
+    [[nodiscard]] std::vector<leased_task>
+    tasks_with(client_job_id job,
+               std::function<bool(entry const&)> const& condition) const;
 
     std::map<leased_task, entry> entries_;
     /// Tasks whose crashes were dropped, and when.
--- a/include/goldcrestgate/core/leasing/detail/executor_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/executor_record.hpp
@@ -3,6 +3,7 @@
 #include "goldcrestgate/core/leasing/executor_health.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -47,6 +48,14 @@
     }
 };
 
+/// @brief Returns the start of a process, at which its clock showed 0, from a
+/// reading of the clock.
+[[nodiscard]] inline time_point process_start(executor_clock clock,
+                                              time_point read_at)
+{
+    return read_at - std::chrono::milliseconds{clock.value()};
+}
+
 /// @brief End of an executor's process.
 struct process_end
 {
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -253,7 +253,7 @@
     /// Handles a refusal by an executor that has seen a higher token.
     void fence_executor(executor_record& executor, scheduler_context& context);
     void lose_executor(executor_record& executor, std::string_view reason,
-                       executor_news const& news, scheduler_context& context);
+                       scheduler_context& context);
     /// Handles a new process of an executor at the same address.
     void restart_executor(executor_record& executor, executor_news const& news,
                           scheduler_context& context);
@@ -323,6 +323,8 @@
     /// Records that the executor's process has ended.
     /// @pre its runs are still recorded
     static void record_process_end(executor_record& executor, time_point now);
+    /// Records it unless the end is known and no later process has answered.
+    static void notice_process_end(executor_record& executor, time_point now);
     /// Records that a new executor has the address of others, whose processes
     /// have ended.
     void record_successor(executor_record& successor, time_point now);
@@ -333,6 +335,8 @@
     /// earlier processes await the news of other executors.
     void resolve_crashes(executor_record& executor, poll_answer const& answer,
                          scheduler_context& context);
+    void refute_crash(executor_record const& executor,
+                      possible_crash const& crash, scheduler_context& context);
     /// Refutes all possible crashes of an executor whose process lives.
     void refute_crashes(executor_record& executor, scheduler_context& context);
     /// Judges a crash of a process before the present one.
@@ -349,6 +353,10 @@
     void record_crash(executor_record const& executor,
                       possible_crash const& crash, crash_state state,
                       std::string_view event, scheduler_context& context);
+    void record_crash(executor_record const& executor,
+                      possible_crash const& crash, crash_state state,
+                      std::string_view event, crash_evidence const& evidence,
+                      scheduler_context& context);
     /// Whether a task of the job that is not done must not start now.
     [[nodiscard]] bool is_withheld(job_record const& job, time_point now) const;
     /// Whether a crash of the executor is not settled yet.
--- a/src/core/leasing/crash_ledger.cpp
+++ b/src/core/leasing/crash_ledger.cpp
@@ -147,13 +147,19 @@
     }
 }
 
-bool crash_ledger::contains(leased_task const& task, std::uint64_t id) const
+std::span<crash_observation const>
+crash_ledger::observations_of(leased_task const& task) const
 {
     auto const found = entries_.find(task);
-    return found != entries_.end() &&
-           std::ranges::find(found->second.observations, id,
-                             &crash_observation::id) !=
-               found->second.observations.end();
+    return found == entries_.end() ? std::span<crash_observation const>{}
+                                   : found->second.observations;
+}
+
+bool crash_ledger::contains(leased_task const& task, std::uint64_t id) const
+{
+    auto const observations = observations_of(task);
+    return std::ranges::find(observations, id, &crash_observation::id) !=
+           observations.end();
 }
 
 void crash_ledger::forget(leased_task const& task, time_point now)
@@ -208,14 +214,14 @@
     return found != entries_.end() && is_withheld(found->second, now);
 }
 
-std::vector<leased_task> crash_ledger::withheld_tasks(client_job_id job,
-                                                      time_point now) const
+std::vector<leased_task> crash_ledger::tasks_with(
+    client_job_id job, std::function<bool(entry const&)> const& condition) const
 {
     std::vector<leased_task> tasks;
     for (auto item = entries_.lower_bound({job, 0, 0});
          item != entries_.end() && item->first.job == job; ++item)
     {
-        if (is_withheld(item->second, now))
+        if (condition(item->second))
         {
             tasks.push_back(item->first);
         }
@@ -223,6 +229,16 @@
     return tasks;
 }
 
+std::vector<leased_task> crash_ledger::withheld_tasks(client_job_id job,
+                                                      time_point now) const
+{
+    return tasks_with(job,
+                      [now](entry const& known)
+                      {
+                          return is_withheld(known, now);
+                      });
+}
+
 bool crash_ledger::is_crash_looping(leased_task const& task) const
 {
     return identifies_task(confirmed(task));
@@ -230,18 +246,12 @@
 
 crash_count crash_ledger::confirmed(leased_task const& task) const
 {
-    auto const found = entries_.find(task);
-    return found == entries_.end()
-               ? crash_count{}
-               : count_confirmed(found->second.observations);
+    return count_confirmed(observations_of(task));
 }
 
 crash_count crash_ledger::suspected(leased_task const& task) const
 {
-    auto const found = entries_.find(task);
-    return found == entries_.end()
-               ? crash_count{}
-               : count_suspected(found->second.observations);
+    return count_suspected(observations_of(task));
 }
 
 std::optional<time_point>
@@ -255,16 +265,12 @@
 std::vector<leased_task>
 crash_ledger::crash_looping_tasks(client_job_id job) const
 {
-    std::vector<leased_task> tasks;
-    for (auto item = entries_.lower_bound({job, 0, 0});
-         item != entries_.end() && item->first.job == job; ++item)
-    {
-        if (identifies_task(count_confirmed(item->second.observations)))
-        {
-            tasks.push_back(item->first);
-        }
-    }
-    return tasks;
+    return tasks_with(job,
+                      [](entry const& known)
+                      {
+                          return identifies_task(
+                              count_confirmed(known.observations));
+                      });
 }
 
 std::vector<task_crashes>
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -250,7 +250,7 @@
     {
         if (executor.claimed)
         {
-            lose_executor(executor, "restarted", {"refused_order"}, context);
+            lose_executor(executor, "restarted", context);
         }
         executor.next_poll_at = context.now + other_incarnation_retry_delay;
         return;
--- a/src/core/leasing/scheduler_orders.cpp
+++ b/src/core/leasing/scheduler_orders.cpp
@@ -192,7 +192,7 @@
     }
     if (outcome == order_outcome::other_incarnation)
     {
-        lose_executor(executor, "restarted", {"refused_order"}, context);
+        lose_executor(executor, "restarted", context);
         return true;
     }
     return false;
@@ -364,7 +364,7 @@
 {
     executor.fenced = true;
     fenced = true;
-    lose_executor(executor, "fenced", {"refused_order"}, context);
+    lose_executor(executor, "fenced", context);
 }
 
 // The new process may have accepted starts before this instance learned of the
@@ -426,15 +426,13 @@
 // claimed again or ownership is released.
 void scheduler_state::lose_executor(executor_record& executor,
                                     std::string_view reason,
-                                    executor_news const& news,
                                     scheduler_context& context)
 {
     scheduler_log_event log_event{.event = "executor_lost",
                                   .executor = executor.id};
     log_event.reason = reason;
     log_event.count = executor.runs.size();
-    log_event.change = {news.source, executor.description.incarnation,
-                        news.incarnation,
+    log_event.change = {"refused_order", executor.description.incarnation, 0,
                         executor.fenced ? executor.runs.size() : 0};
     context.out.emplace_back(log_event);
     executor.claimed = false;
@@ -444,10 +442,7 @@
     {
         return;
     }
-    if (!executor.last_process_end || executor.last_process_end->next_start)
-    {
-        record_process_end(executor, context.now);
-    }
+    notice_process_end(executor, context.now);
     executor.last_uncertain_order = order_id{last_order};
     // Another executor refuses late orders by the name that they carry.
     executor.unanswered_starts.clear();
