--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -255,6 +255,18 @@
                               }));
 }
 
+std::optional<executor_id> executor_fleet::executor_of(client_job_id job) const
+{
+    for (auto const& [id, target] : executors_)
+    {
+        if (running(job, id) > 0)
+        {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
 std::size_t executor_fleet::starts(client_job_id job) const
 {
     auto const found = starts_.find(job);
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -139,6 +139,10 @@
     [[nodiscard]] std::size_t running(core::client_job_id job,
                                       core::executor_id on) const;
 
+    /// @brief Returns an executor that has a run of the job, if any.
+    [[nodiscard]] std::optional<core::executor_id>
+    executor_of(core::client_job_id job) const;
+
     /// @brief Returns the number of starts of a job so far.
     [[nodiscard]] std::size_t starts(core::client_job_id job) const;
 
@@ -238,6 +242,9 @@
     [[nodiscard]] std::optional<core::duration>
     late_delay(std::optional<core::duration> set, order_kind kind) const;
     [[nodiscard]] bool drops_order();
+    /// Returns whether another process answers orders under the id.
+    [[nodiscard]] bool is_replaced(simulated_executor const& target,
+                                   core::executor_id id) const;
     void end_run(simulated_executor& target, core::task_run const& run,
                  core::run_end end);
     void advance(simulated_executor& target);
--- a/tests/support/executor_fleet_orders.cpp
+++ b/tests/support/executor_fleet_orders.cpp
@@ -153,9 +153,7 @@
                      answer_with_timeout();
                      return;
                  }
-                 bool const is_refused = target.behaviour.replaced ||
-                                         superseded_.contains(order.executor);
-                 auto const outcome = is_refused
+                 auto const outcome = is_replaced(target, order.executor)
                                           ? order_outcome::other_incarnation
                                           : start(target, order, false);
                  auto const read = clock(target);
@@ -243,10 +241,16 @@
     return drop_every_nth_order > 0 && orders_sent % drop_every_nth_order == 0;
 }
 
+bool executor_fleet::is_replaced(simulated_executor const& target,
+                                 executor_id id) const
+{
+    return target.behaviour.replaced || superseded_.contains(id);
+}
+
 void executor_fleet::receive_poll(simulated_executor& target,
                                   poll_executor const& order)
 {
-    if (target.behaviour.replaced || superseded_.contains(order.executor) ||
+    if (is_replaced(target, order.executor) ||
         order.token.value() < target.token)
     {
         return;
@@ -278,7 +282,7 @@
     poll_answer answer;
     answer.order = order.order;
     answer.executor = order.executor;
-    if (target.behaviour.replaced || superseded_.contains(order.executor))
+    if (is_replaced(target, order.executor))
     {
         answer.outcome = order_outcome::other_incarnation;
         return answer;
--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -147,13 +147,25 @@
 }
 
 void fleet_owner::adopt_crashes(fleet_owner const& other)
+{
+    adopt_crashes(other.scheduler.crash_report(fleet_.now()));
+}
+
+void fleet_owner::adopt_crashes(std::span<task_crashes const> reported)
 {
     std::vector<scheduler_action> out;
-    scheduler.adopt_crashes(other.scheduler.crash_report(fleet_.now()),
-                            fleet_.now(), out);
+    scheduler.adopt_crashes(reported, fleet_.now(), out);
     apply(out);
 }
 
+void fleet_owner::list_restarted()
+{
+    fleet_.on_restarted = [this](executor_id id)
+    {
+        list(id);
+    };
+}
+
 void fleet_owner::apply(std::vector<scheduler_action> const& actions)
 {
     auto const answered = [this](auto member)
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <vector>
 
 namespace goldcrestgate::tests
@@ -40,9 +41,14 @@
                core::instance_id origin = core::instance_id{1},
                core::duration elapsed = {});
 
-    /// @brief Adopts the crashes that another owner has counted, as from its
+    /// @brief Lists the new process of each executor that restarts after a
+    /// crash, as the store reports it.
+    void list_restarted();
+
+    /// @brief Adopts the crashes that another owner has recorded, as from its
     /// last heartbeat.
     void adopt_crashes(fleet_owner const& other);
+    void adopt_crashes(std::span<core::task_crashes const> reported);
 
     /// @brief Ends the owner's process; orders that it has sent still arrive.
     void kill()
--- a/tests/support/watched_job.hpp
+++ b/tests/support/watched_job.hpp
@@ -5,6 +5,7 @@
 #include <cppunit/TestAssert.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 namespace goldcrestgate::tests
@@ -34,10 +35,7 @@
         : fleet(executors)
         , owner(fleet)
     {
-        fleet.on_restarted = [this](core::executor_id id)
-        {
-            owner.list(id);
-        };
+        owner.list_restarted();
     }
 
     /// @brief Returns the executor that was last told to start the task.
@@ -67,6 +65,46 @@
         fleet.run_for(learning_time);
     }
 
+    /// @brief Cuts off the executor of the job twice, each time after it has
+    /// worked for some time.
+    /// @param silence time without answers
+    /// @param end_silence reconnects the executor or its next process
+    void
+    cut_off_twice(core::duration work, core::duration silence,
+                  std::function<void(core::executor_id)> const& end_silence)
+    {
+        for (int cut = 0; cut < 2; ++cut)
+        {
+            fleet.run_for(work);
+            auto const id = last_target();
+            cut_off(id);
+            fleet.run_for(silence);
+            end_silence(id);
+        }
+    }
+
+    /// @brief Crashes the executor of the job and others at once, twice.
+    /// @param crashing number of executors that crash
+    void crash_twice(std::size_t crashing)
+    {
+        for (int crash = 0; crash < 2; ++crash)
+        {
+            fleet.run_for(std::chrono::milliseconds{500});
+            auto const target = last_target();
+            fleet.crash(target);
+            std::size_t left = crashing - 1;
+            for (auto const id : fleet.ids())
+            {
+                if (id != target && left > 0)
+                {
+                    --left;
+                    fleet.crash(id);
+                }
+            }
+            fleet.run_for(std::chrono::seconds{4});
+        }
+    }
+
     void submit(core::duration work)
     {
         owner.submit(make_patient_job(watched_job.value(), work,
--- a/tests/unit/crash_looping_task.cpp
+++ b/tests/unit/crash_looping_task.cpp
@@ -42,10 +42,7 @@
         : fleet(executors)
         , owner(fleet)
     {
-        fleet.on_restarted = [this](executor_id id)
-        {
-            owner.list(id);
-        };
+        owner.list_restarted();
         owner.start();
     }
 
--- a/tests/unit/crashes_noticed_at_different_times.cpp
+++ b/tests/unit/crashes_noticed_at_different_times.cpp
@@ -24,7 +24,13 @@
     // Guards against giving up a task when three of six executors crash.
     void crash_of_half_of_a_small_domain_fails_no_job()
     {
-        waves(6, 3);
+        watched_job_fixture test{6};
+        test.fleet.restart_time = milliseconds{400};
+        test.owner.start();
+        test.submit(seconds{20});
+        test.crash_twice(3);
+        test.fleet.run_for(seconds{40});
+        test.check_outcome(job_outcome::completed);
     }
 
     // Guards against judging a crash before the others are known.
@@ -62,39 +68,7 @@
     // Guards against comparing crashes by the times of the restarts.
     void restarts_at_different_times_fail_no_job()
     {
-        spread(12, milliseconds{250});
-    }
-
-private:
-    static void waves(std::size_t executors, std::size_t crashing)
-    {
-        watched_job_fixture test{executors};
-        test.fleet.restart_time = milliseconds{400};
-        test.owner.start();
-        test.submit(seconds{20});
-        for (int wave = 0; wave < 2; ++wave)
-        {
-            test.fleet.run_for(milliseconds{500});
-            auto const target = test.last_target();
-            test.fleet.crash(target);
-            std::size_t left = crashing - 1;
-            for (auto const id : test.fleet.ids())
-            {
-                if (id != target && left > 0)
-                {
-                    --left;
-                    test.fleet.crash(id);
-                }
-            }
-            test.fleet.run_for(seconds{4});
-        }
-        test.fleet.run_for(seconds{40});
-        test.check_outcome(job_outcome::completed);
-    }
-
-    static void spread(std::size_t executors, milliseconds step)
-    {
-        watched_job_fixture test{executors};
+        watched_job_fixture test{12};
         test.owner.start();
         test.submit(seconds{20});
         for (int wave = 0; wave < 2; ++wave)
@@ -104,7 +78,7 @@
             for (auto const id : test.fleet.ids())
             {
                 test.fleet.restart_time = time;
-                time += step;
+                time += milliseconds{250};
                 test.fleet.crash(id);
             }
             test.fleet.run_for(time + seconds{2});
--- a/tests/unit/crashes_without_proof.cpp
+++ b/tests/unit/crashes_without_proof.cpp
@@ -25,20 +25,6 @@
     return tests::make_patient_job(id, work, seconds{60});
 }
 
-/// Returns an executor that runs the job.
-std::optional<executor_id> executor_of(executor_fleet const& fleet,
-                                       client_job_id job)
-{
-    for (auto const id : fleet.ids())
-    {
-        if (fleet.running(job, id) > 0)
-        {
-            return id;
-        }
-    }
-    return std::nullopt;
-}
-
 bool has_outcome(fleet_owner const& owner, client_job_id job,
                  job_outcome outcome)
 {
@@ -76,7 +62,7 @@
     {
         executor_fleet fleet{6};
         fleet_owner owner{fleet};
-        list_restarted(fleet, owner);
+        owner.list_restarted();
         owner.start();
         delay_starts(fleet, seconds{1000});
         owner.submit(make_patient_job(1, milliseconds{60}), milliseconds{60});
@@ -115,7 +101,7 @@
         executor_fleet fleet{8};
         fleet_owner owner{fleet};
         fleet.restart_time = milliseconds{400};
-        list_restarted(fleet, owner);
+        owner.list_restarted();
         owner.start();
         auto job = make_patient_job(1, milliseconds{800});
         job.groups.front().task_count = 16;
@@ -147,7 +133,7 @@
             for (int step = 0; !cut_off && step < 300; ++step)
             {
                 fleet.run_for(milliseconds{100});
-                cut_off = executor_of(fleet, first_job);
+                cut_off = fleet.executor_of(first_job);
             }
             CPPUNIT_ASSERT(cut_off.has_value());
             // The progress is known then, so that the silence is noticed.
@@ -205,7 +191,7 @@
         auto const job = make_patient_job(1, milliseconds{900});
         earlier.submit(job, milliseconds{900});
         fleet.run_for(milliseconds{420});
-        auto const crashed = executor_of(fleet, first_job);
+        auto const crashed = fleet.executor_of(first_job);
         CPPUNIT_ASSERT(crashed.has_value());
         later.list_all();
         later.take_over(2, true);
@@ -233,7 +219,7 @@
     {
         executor_fleet fleet{12};
         fleet_owner owner{fleet};
-        list_restarted(fleet, owner);
+        owner.list_restarted();
         owner.start();
         delay_starts(fleet, milliseconds{2});
         leased_task const task{first_job, 0, 0};
@@ -281,15 +267,6 @@
         };
     }
 
-    /// The store lists the new process of a crashed executor at its owner.
-    static void list_restarted(executor_fleet& fleet, fleet_owner& owner)
-    {
-        fleet.on_restarted = [&owner](executor_id id)
-        {
-            owner.list(id);
-        };
-    }
-
     static void crash_in_series(std::size_t share_percent, bool renamed)
     {
         constexpr std::size_t executors = 48;
@@ -303,7 +280,7 @@
         }
         else
         {
-            list_restarted(fleet, owner);
+            owner.list_restarted();
         }
         owner.start();
         for (std::uint64_t id = 1; id <= jobs; ++id)
--- a/tests/unit/failed_after_unseen_ends.cpp
+++ b/tests/unit/failed_after_unseen_ends.cpp
@@ -30,16 +30,14 @@
         watched_job_fixture test{6};
         test.owner.start();
         test.submit(seconds{3});
-        for (int cut = 0; cut < 2; ++cut)
-        {
-            test.fleet.run_for(progress_known_time);
-            auto const id = test.last_target();
-            test.cut_off(id);
-            test.fleet.run_for(lease_and_margin);
-            CPPUNIT_ASSERT_EQUAL(std::size_t{0},
-                                 test.fleet.running(watched_job, id));
-            test.replace_process(id);
-        }
+        test.cut_off_twice(progress_known_time, lease_and_margin,
+                           [&test](executor_id id)
+                           {
+                               CPPUNIT_ASSERT_EQUAL(
+                                   std::size_t{0},
+                                   test.fleet.running(watched_job, id));
+                               test.replace_process(id);
+                           });
         test.fleet.run_for(seconds{10});
         test.check_outcome(job_outcome::completed);
     }
@@ -51,19 +49,17 @@
         watched_job_fixture test{6};
         test.owner.start();
         test.submit(milliseconds{200});
-        for (int cut = 0; cut < 2; ++cut)
-        {
-            test.fleet.run_for(milliseconds{20});
-            auto const id = test.last_target();
-            test.cut_off(id);
-            test.fleet.run_for(milliseconds{250});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{0},
-                                 test.fleet.running(watched_job, id));
-            test.fleet.restart(id);
-            test.fleet.behaviour(id).unreachable = false;
-            test.owner.list(id);
-            test.fleet.run_for(milliseconds{50});
-        }
+        test.cut_off_twice(milliseconds{20}, milliseconds{250},
+                           [&test](executor_id id)
+                           {
+                               CPPUNIT_ASSERT_EQUAL(
+                                   std::size_t{0},
+                                   test.fleet.running(watched_job, id));
+                               test.fleet.restart(id);
+                               test.fleet.behaviour(id).unreachable = false;
+                               test.owner.list(id);
+                               test.fleet.run_for(milliseconds{50});
+                           });
         test.fleet.run_for(seconds{10});
         test.check_outcome(job_outcome::completed);
     }
--- a/tests/unit/failed_without_cause.cpp
+++ b/tests/unit/failed_without_cause.cpp
@@ -63,18 +63,15 @@
         watched_job_fixture test{6};
         test.owner.start();
         test.submit(seconds{3});
-        for (int cut = 0; cut < 2; ++cut)
-        {
-            test.fleet.run_for(progress_known_time);
-            auto const id = test.last_target();
-            test.cut_off(id);
-            test.fleet.run_for(lease_and_margin);
-            auto leaving = test.fleet.description(id);
-            leaving.draining = true;
-            test.owner.list(id, leaving);
-            test.fleet.run_for(milliseconds{100});
-            test.replace_process(id);
-        }
+        test.cut_off_twice(progress_known_time, lease_and_margin,
+                           [&](executor_id id)
+                           {
+                               auto leaving = test.fleet.description(id);
+                               leaving.draining = true;
+                               test.owner.list(id, leaving);
+                               test.fleet.run_for(milliseconds{100});
+                               test.replace_process(id);
+                           });
         test.fleet.run_for(seconds{10});
         test.check_outcome(job_outcome::completed);
     }
@@ -99,16 +96,13 @@
         test.owner.take_over(1, true);
         test.fleet.run_for(milliseconds{150});
         test.submit(seconds{3});
-        for (int cut = 0; cut < 2; ++cut)
-        {
-            test.fleet.run_for(progress_known_time);
-            auto const id = test.last_target();
-            test.cut_off(id);
-            test.fleet.run_for(lease_and_margin);
-            test.owner.list(id, earlier.at(id));
-            test.fleet.run_for(milliseconds{100});
-            test.reconnect(id);
-        }
+        test.cut_off_twice(progress_known_time, lease_and_margin,
+                           [&](executor_id id)
+                           {
+                               test.owner.list(id, earlier.at(id));
+                               test.fleet.run_for(milliseconds{100});
+                               test.reconnect(id);
+                           });
         test.fleet.run_for(seconds{10});
         test.check_outcome(job_outcome::completed);
     }
--- a/tests/unit/shared_crashes.cpp
+++ b/tests/unit/shared_crashes.cpp
@@ -31,7 +31,13 @@
     // Guards against giving up a task when three of four executors crash.
     void crash_of_most_of_a_small_domain_fails_no_job()
     {
-        waves(4, 3);
+        watched_job_fixture test{4};
+        test.fleet.restart_time = milliseconds{400};
+        test.owner.start();
+        test.submit(seconds{20});
+        test.crash_twice(3);
+        test.fleet.run_for(seconds{40});
+        test.check_outcome(job_outcome::completed);
     }
 
     // Guards against taking an executor of another service for a witness.
@@ -66,17 +72,6 @@
         watched_job_fixture test{16};
         test.fleet.restart_time = milliseconds{400};
         test.owner.start();
-        auto const where = [&](std::uint64_t job)
-        {
-            for (auto const id : test.fleet.ids())
-            {
-                if (test.fleet.running(client_job_id{job}, id) > 0)
-                {
-                    return id;
-                }
-            }
-            return executor_id{};
-        };
         for (std::uint64_t id = 1; id <= 10; ++id)
         {
             auto job = tests::make_patient_job(id, seconds{40}, seconds{200});
@@ -87,10 +82,9 @@
         for (std::uint64_t id = 1; id <= 10; ++id)
         {
             test.fleet.run_for(milliseconds{1500});
-            auto const at = where(id);
-            if (at != executor_id{})
+            if (auto const at = test.fleet.executor_of(client_job_id{id}))
             {
-                test.fleet.crash(at);
+                test.fleet.crash(*at);
             }
         }
         test.fleet.run_for(milliseconds{2500});
@@ -130,48 +124,13 @@
             {{watched_job, 0, 0},
              {{1, crash_state::confirmed, true},
               {2, crash_state::confirmed, true}}}};
-        std::vector<scheduler_action> out;
-        test.owner.scheduler.adopt_crashes(late, test.fleet.now(), out);
-        test.owner.apply(out);
+        test.owner.adopt_crashes(late);
         test.fleet.run_for(seconds{10});
         test.check_outcome(job_outcome::completed);
     }
 
     // Guards against delaying a job by suspicions of a task that is done.
     void late_report_of_a_done_task_withholds_no_job()
-    {
-        withheld(0, 0);
-    }
-
-private:
-    static void waves(std::size_t executors, std::size_t crashing)
-    {
-        watched_job_fixture test{executors};
-        test.fleet.restart_time = milliseconds{400};
-        test.owner.start();
-        test.submit(seconds{20});
-        for (int wave = 0; wave < 2; ++wave)
-        {
-            test.fleet.run_for(milliseconds{500});
-            auto const target = test.last_target();
-            test.fleet.crash(target);
-            std::size_t left = crashing - 1;
-            for (auto const id : test.fleet.ids())
-            {
-                if (id != target && left > 0)
-                {
-                    --left;
-                    test.fleet.crash(id);
-                }
-            }
-            test.fleet.run_for(seconds{4});
-        }
-        test.fleet.run_for(seconds{40});
-        test.check_outcome(job_outcome::completed);
-    }
-
-    static void withheld(std::uint16_t group, std::uint16_t index,
-                         bool adopt = true)
     {
         watched_job_fixture test{4};
         test.owner.start();
@@ -181,18 +140,12 @@
         test.owner.submit(job, seconds{1});
         test.fleet.run_for(milliseconds{1300});
         std::vector<task_crashes> const late{
-            {{watched_job, group, index},
+            {{watched_job, 0, 0},
              {{1, crash_state::suspected, true},
               {2, crash_state::suspected, true},
               {3, crash_state::suspected, true},
               {4, crash_state::suspected, true}}}};
-        std::vector<scheduler_action> out;
-        test.fleet.run_for(milliseconds{0});
-        if (adopt)
-        {
-            test.owner.scheduler.adopt_crashes(late, test.fleet.now(), out);
-        }
-        test.owner.apply(out);
+        test.owner.adopt_crashes(late);
         test.fleet.crash(test.last_target());
         test.fleet.run_for(seconds{12});
         test.check_outcome(job_outcome::completed);
