Log instances with an older configuration and the length of outages

Change: configuration_in_force names the peer, configuration_behind is logged once for each newer version that a heartbeat shows, and store_regained has the length of the outage and the number of failed reads. No decision changes.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -109,8 +109,10 @@
     void on_operator_records(adapter::topic_page const& page, bool is_snapshot);
     void adopt_evacuations(core::evacuations const& known,
                            std::string_view source);
+    /// @param peer the instance that sent the document; empty if none did
     void apply_configuration(std::string const& document,
-                             std::string_view source);
+                             std::string_view source,
+                             std::string_view peer = {});
     [[nodiscard]] topic_callbacks make_topic_callbacks(
         std::string_view name,
         std::function<void(adapter::topic_page const&)> const& changed);
@@ -138,6 +140,8 @@
     std::string configuration_document_;
     core::evacuations evacuations_;
     core::time_point configuration_applied_at_{};
+    /// Highest version that a heartbeat has reported while it was newer.
+    std::uint64_t newest_reported_version_ = 0;
     std::map<core::instance_id, core::time_point> configuration_sent_at_;
     core::domain_ownership ownership_;
     core::heartbeat_plan heartbeat_plan_;
--- a/include/goldcrestgate/app/entry/topic_watch.hpp
+++ b/include/goldcrestgate/app/entry/topic_watch.hpp
@@ -19,6 +19,14 @@
     core::duration delay{};
 };
 
+/// @brief A time during which no read of a topic succeeded.
+struct read_outage
+{
+    /// Time from the start of the first failed read.
+    core::duration length{};
+    std::size_t failed_reads = 0;
+};
+
 /// @brief Callbacks for the records of a topic.
 struct topic_callbacks
 {
@@ -29,7 +37,7 @@
     /// A read failed; not called again until a read has succeeded.
     std::function<void(core::error const&)> on_read_failed;
     /// A read has succeeded after failed ones.
-    std::function<void()> on_read_recovered;
+    std::function<void(read_outage const&)> on_read_recovered;
 };
 
 /// @brief Follows a topic of the store.
@@ -79,6 +87,7 @@
     void on_result(adapter::topic_result const& result);
     void on_failure(core::error const& failure);
 
+    io::event_loop& loop_;
     adapter::store_client& store_;
     adapter::topic topic_;
     poll_timing timing_;
@@ -92,6 +101,9 @@
     bool discard_result_ = false;
     bool refresh_requested_ = false;
     bool reachable_ = true;
+    core::time_point read_started_at_{};
+    core::time_point outage_began_at_{};
+    std::size_t failed_reads_ = 0;
     /// Shared with the callbacks of reads in flight, which ignore their result
     /// if it is false.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -137,6 +137,19 @@
     core::instance_key const& peer, core::owner_heartbeat const& heartbeat)
 {
     auto const now = loop_.now();
+    if (heartbeat.configuration_version >
+        std::max(routes_.version, newest_reported_version_))
+    {
+        newest_reported_version_ = heartbeat.configuration_version;
+        log_.write(log_line{log_level::info, "configuration_behind"}
+                       .number("version",
+                               static_cast<std::int64_t>(routes_.version))
+                       .number("newer", static_cast<std::int64_t>(
+                                            newest_reported_version_))
+                       .text("peer", format_instance(peer.instance))
+                       .flag("store_reachable",
+                             configuration_watch_.reachable()));
+    }
     bool const is_outdated =
         heartbeat.configuration_version < routes_.version &&
         now - configuration_applied_at_ >= configuration_read_time;
@@ -407,7 +420,8 @@
             {
                 if (published.version > routes_.version)
                 {
-                    apply_configuration(published.document, "peer");
+                    apply_configuration(published.document, "peer",
+                                        format_instance(from.instance));
                 }
             },
             [&](auto const&)
--- a/src/app/entry/entry_platform.cpp
+++ b/src/app/entry/entry_platform.cpp
@@ -27,10 +27,18 @@
                                .text("topic", name)
                                .failure(failure));
             },
-            [this, name]
+            [this, name](read_outage const& outage)
             {
-                log_.write(log_line{log_level::info, "store_regained"}.text(
-                    "topic", name));
+                using std::chrono::milliseconds;
+                log_.write(
+                    log_line{log_level::info, "store_regained"}
+                        .text("topic", name)
+                        .number("outage_ms",
+                                std::chrono::duration_cast<milliseconds>(
+                                    outage.length)
+                                    .count())
+                        .number("failed_reads", static_cast<std::int64_t>(
+                                                    outage.failed_reads)));
             }};
 }
 
@@ -162,7 +170,8 @@
 }
 
 void entry_instance::apply_configuration(std::string const& document,
-                                         std::string_view source)
+                                         std::string_view source,
+                                         std::string_view peer)
 {
     auto table = adapter::decode_configuration(document);
     if (!table)
@@ -175,12 +184,16 @@
     {
         return;
     }
-    log_.write(
-        log_line{log_level::info, "configuration_in_force"}
-            .number("version", static_cast<std::int64_t>(table->version))
-            .number("earlier", static_cast<std::int64_t>(routes_.version))
-            .number("routes", static_cast<std::int64_t>(table->routes.size()))
-            .text("source", source));
+    log_line line{log_level::info, "configuration_in_force"};
+    line.number("version", static_cast<std::int64_t>(table->version))
+        .number("earlier", static_cast<std::int64_t>(routes_.version))
+        .number("routes", static_cast<std::int64_t>(table->routes.size()))
+        .text("source", source);
+    if (!peer.empty())
+    {
+        line.text("peer", peer);
+    }
+    log_.write(line);
     routes_ = std::move(*table);
     configuration_document_ = document;
     configuration_applied_at_ = loop_.now();
--- a/src/app/entry/topic_watch.cpp
+++ b/src/app/entry/topic_watch.cpp
@@ -24,7 +24,8 @@
 topic_watch::topic_watch(io::event_loop& loop, adapter::store_client& store,
                          adapter::topic topic, poll_timing timing,
                          topic_callbacks callbacks)
-    : store_(store)
+    : loop_(loop)
+    , store_(store)
     , topic_(topic)
     , timing_(timing)
     , callbacks_(std::move(callbacks))
@@ -77,6 +78,7 @@
 void topic_watch::read_next()
 {
     read_in_flight_ = true;
+    read_started_at_ = loop_.now();
     auto on_answer = [this, alive = alive_](adapter::topic_result const& result)
     {
         if (*alive)
@@ -106,7 +108,8 @@
     }
     if (!std::exchange(reachable_, true))
     {
-        callbacks_.on_read_recovered();
+        callbacks_.on_read_recovered(
+            {loop_.now() - outage_began_at_, std::exchange(failed_reads_, 0)});
     }
     retry_delay_ = initial_retry_delay;
     if (std::exchange(discard_result_, false))
@@ -140,8 +143,10 @@
 void topic_watch::on_failure(core::error const& failure)
 {
     discard_result_ = false;
+    ++failed_reads_;
     if (std::exchange(reachable_, false))
     {
+        outage_began_at_ = read_started_at_;
         callbacks_.on_read_failed(failure);
     }
     schedule_read(retry_delay_);
