Show that a configuration stays with the instances that can read the store

Cause: while any owner is known, only owners pass a configuration on, and the store turns all owners away in this test.

--- /dev/null
+++ b/tests/failure/test_configuration_reach.py
@@ -0,0 +1,50 @@
+"""Guards against configurations that stay with the few instances that can read
+the store, although all instances reach each other."""
+
+from harness import system
+from harness.leased import LeasedSystem
+from harness.processes import wait_until
+
+
+def main():
+    build_dir = system.build_dir_argument()
+    with LeasedSystem(build_dir, instances=3, has_relays=True,
+                      domains=("north", "east")) as running:
+        versions_pass_owners_without_the_store(running)
+        restarted_instance_gets_the_version_in_force(running)
+
+
+def versions_pass_owners_without_the_store(running):
+    """Guards against versions that wait for an owner to read the store."""
+    reader = leave_one_reader(running)
+    assert reader.metric("owner") == 0
+    running.publish_configuration(2, 1400)
+    await_version(running, 2)
+
+
+def restarted_instance_gets_the_version_in_force(running):
+    """Guards against an instance that starts without the store and stays
+    without a configuration."""
+    instance = next(i for i in running.instances[3:] if i.metric("owner") == 0)
+    instance.process.kill()
+    instance.process.wait()
+    instance.start()
+    await_version(running, 2)
+
+
+def leave_one_reader(running):
+    """Cuts all instances but one, which is no owner, off the store."""
+    reader = next(i for i in running.instances[:3] if i.metric("owner") == 0)
+    for instance in running.instances:
+        if instance is not reader:
+            instance.relay.cut()
+    return reader
+
+
+def await_version(running, version):
+    wait_until(lambda: all(i.metric("configuration_version") == version
+                           for i in running.instances), f"version {version}")
+
+
+if __name__ == "__main__":
+    main()
