Let instances get the configuration from any other one

Callers saw a new route refused long after it was in force elsewhere: while the store turned all owners away, versions stayed with the instances that could read them. Cause: forward_configuration left it to the owners to pass a configuration on while any owner was known. An owner that the store turned away learned a version from another owner only, and a copy held back the next one for 1.5 s. Change: configuration_exchange. An instance that the store has not served for 1 s asks the others in turn for their version and its age, and requests the document from one that has a newer version. The age is counted from the query, is logged when it passes a limit, and is a metric. Evacuations travel with the answers. The setting platform.configuration_age_limit_ms is new. Ruled out: sending to all peers, as with 1,236 routes it saturated the links of small instances; requests are made by the receiver, one at a time. Instances of earlier versions do not understand the two new messages.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -7,6 +7,7 @@
 #include "goldcrestgate/app/entry/executor_orders.hpp"
 #include "goldcrestgate/app/entry/topic_watch.hpp"
 #include "goldcrestgate/core/events.hpp"
+#include "goldcrestgate/core/leasing/configuration_exchange.hpp"
 #include "goldcrestgate/core/leasing/domain_ownership.hpp"
 #include "goldcrestgate/core/leasing/job_gateway.hpp"
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
@@ -100,8 +101,6 @@
     void send_speeds();
     void adopt_speeds(core::instance_id owner,
                       core::executor_speeds const& report);
-    void forward_configuration(core::instance_key const& peer,
-                               core::owner_heartbeat const& heartbeat);
 
     // the platform's store
     void watch_platform();
@@ -109,16 +108,30 @@
     void on_operator_records(adapter::topic_page const& page, bool is_snapshot);
     void adopt_evacuations(core::evacuations const& known,
                            std::string_view source);
-    /// @param peer the instance that sent the document; empty if none did
-    void apply_configuration(std::string const& document,
-                             std::string_view source,
-                             std::string_view peer = {});
     [[nodiscard]] topic_callbacks make_topic_callbacks(
         std::string_view name,
         std::function<void(adapter::topic_page const&)> const& changed);
     [[nodiscard]] topic_callbacks make_operator_callbacks();
     [[nodiscard]] topic_callbacks make_executor_callbacks();
 
+    // configuration
+    /// @param peer the instance that sent the document; empty if none did
+    void apply_configuration(std::string const& document,
+                             std::string_view source,
+                             std::string_view peer = {});
+    /// Handles the version that a heartbeat has.
+    void configuration_heard(core::instance_id peer, std::uint64_t version);
+    /// Asks another instance for the configuration if the store does not serve
+    /// this one, and logs when the configuration passes its age limit.
+    void query_configuration();
+    void answer_configuration_query(core::instance_id peer,
+                                    core::configuration_query const& query);
+    void configuration_reported(core::instance_id peer,
+                                core::configuration_report const& report);
+    /// Whether the configuration is known to have been the newest one within
+    /// the age limit.
+    [[nodiscard]] bool is_configuration_current() const;
+
     // timers, ownership and stop
     void tick();
     void decide_ownership();
@@ -139,10 +152,8 @@
     core::route_table routes_;
     std::string configuration_document_;
     core::evacuations evacuations_;
-    core::time_point configuration_applied_at_{};
-    /// Highest version that a heartbeat has reported while it was newer.
-    std::uint64_t newest_reported_version_ = 0;
-    std::map<core::instance_id, core::time_point> configuration_sent_at_;
+    core::configuration_exchange configuration_exchange_;
+    bool configuration_current_logged_ = false;
     core::domain_ownership ownership_;
     core::heartbeat_plan heartbeat_plan_;
     /// The successors that this instance as the owner has designated so far;
--- a/include/goldcrestgate/app/entry/entry_metrics.hpp
+++ b/include/goldcrestgate/app/entry/entry_metrics.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,9 @@
     bool ready = false;
     bool owner = false;
     std::uint64_t configuration_version = 0;
+    /// Time since the version was the newest one in the store; empty if it was
+    /// never confirmed.
+    std::optional<core::duration> configuration_age;
     std::size_t caller_connections = 0;
     std::size_t peer_connections = 0;
     std::size_t open_jobs = 0;
--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -33,6 +33,8 @@
     std::string peers_address;
     std::string metrics_address;
     std::string store_address;
+    /// Time within which a published configuration has to be in force.
+    core::duration configuration_age_limit{};
     /// Peer addresses to connect to at startup, separated by commas.
     std::string seed_addresses;
 
--- a/include/goldcrestgate/app/entry/topic_watch.hpp
+++ b/include/goldcrestgate/app/entry/topic_watch.hpp
@@ -38,6 +38,9 @@
     std::function<void(core::error const&)> on_read_failed;
     /// A read has succeeded after failed ones.
     std::function<void(read_outage const&)> on_read_recovered;
+    /// A read has succeeded, and its records have been handled; all records
+    /// that were appended before the given time are known. May be empty.
+    std::function<void(core::time_point)> on_read;
 };
 
 /// @brief Follows a topic of the store.
@@ -86,6 +89,9 @@
     void schedule_read(core::duration delay);
     void on_result(adapter::topic_result const& result);
     void on_failure(core::error const& failure);
+    /// Time until which a read that has just ended has all records.
+    [[nodiscard]] core::time_point read_as_of(adapter::topic_page const& page,
+                                              bool is_snapshot) const;
 
     io::event_loop& loop_;
     adapter::store_client& store_;
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -6,6 +6,7 @@
 #include "goldcrestgate/core/leasing/leased_job.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -152,6 +153,31 @@
     std::vector<std::string> addresses;
 };
 
+/// @brief Asks an instance for its version of the configuration.
+struct configuration_query
+{
+    /// Number of the query among those of the sender.
+    std::uint64_t number = 0;
+    /// Version in force at the sender; 0 without one.
+    std::uint64_t version = 0;
+    /// Whether the document is requested if it is newer.
+    bool wants_document = false;
+};
+
+/// @brief Answers a @ref configuration_query; follows the document if that is
+/// sent.
+struct configuration_report
+{
+    /// Number of the query.
+    std::uint64_t number = 0;
+    /// Version in force at the sender; 0 without one.
+    std::uint64_t version = 0;
+    /// Time since this version and these evacuations were the newest ones in
+    /// the store; empty if the sender does not know.
+    std::optional<duration> age;
+    evacuations evacuated;
+};
+
 /// @brief Published configuration that instances forward to each other.
 struct published_configuration
 {
--- a/include/goldcrestgate/core/messages.hpp
+++ b/include/goldcrestgate/core/messages.hpp
@@ -227,6 +227,7 @@
                  forward_request, forward_reply, settings_pull, settings_push,
                  slot_message, job_offer, job_withdrawal, job_verdict,
                  owner_heartbeat, peer_addresses, published_configuration,
-                 executor_roster, executor_speeds>;
+                 executor_roster, executor_speeds, configuration_query,
+                 configuration_report>;
 
 } // namespace goldcrestgate::core
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -122,6 +122,12 @@
 struct PublishedConfiguration;
 struct PublishedConfigurationBuilder;
 
+struct ConfigurationQuery;
+struct ConfigurationQueryBuilder;
+
+struct ConfigurationReport;
+struct ConfigurationReportBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -218,11 +224,13 @@
   PublishedConfiguration = 20,
   ExecutorRoster = 21,
   ExecutorSpeeds = 22,
+  ConfigurationQuery = 23,
+  ConfigurationReport = 24,
   MIN = NONE,
-  MAX = ExecutorSpeeds
+  MAX = ConfigurationReport
 };
 
-inline const Message (&EnumValuesMessage())[23] {
+inline const Message (&EnumValuesMessage())[25] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -246,13 +254,15 @@
     Message::PeerAddresses,
     Message::PublishedConfiguration,
     Message::ExecutorRoster,
-    Message::ExecutorSpeeds
+    Message::ExecutorSpeeds,
+    Message::ConfigurationQuery,
+    Message::ConfigurationReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[24] = {
+  static const char * const names[26] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -276,13 +286,15 @@
     "PublishedConfiguration",
     "ExecutorRoster",
     "ExecutorSpeeds",
+    "ConfigurationQuery",
+    "ConfigurationReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::ExecutorSpeeds)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::ConfigurationReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -379,6 +391,14 @@
   static const Message enum_value = Message::ExecutorSpeeds;
 };
 
+template<> struct MessageTraits<goldcrestgate::wire::detail::ConfigurationQuery> {
+  static const Message enum_value = Message::ConfigurationQuery;
+};
+
+template<> struct MessageTraits<goldcrestgate::wire::detail::ConfigurationReport> {
+  static const Message enum_value = Message::ConfigurationReport;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -3508,6 +3528,190 @@
       document__);
 }
 
+struct ConfigurationQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationQueryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_VERSION = 6,
+    VT_WANTS_DOCUMENT = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool wants_document() const {
+    return GetField<uint8_t>(VT_WANTS_DOCUMENT, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_DOCUMENT, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct ConfigurationQueryBuilder {
+  typedef ConfigurationQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(ConfigurationQuery::VT_NUMBER, number, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ConfigurationQuery::VT_VERSION, version, 0);
+  }
+  void add_wants_document(bool wants_document) {
+    fbb_.AddElement<uint8_t>(ConfigurationQuery::VT_WANTS_DOCUMENT, static_cast<uint8_t>(wants_document), 0);
+  }
+  explicit ConfigurationQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationQuery> CreateConfigurationQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t version = 0,
+    bool wants_document = false) {
+  ConfigurationQueryBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_number(number);
+  builder_.add_wants_document(wants_document);
+  return builder_.Finish();
+}
+
+struct ConfigurationQuery::Traits {
+  using type = ConfigurationQuery;
+  static auto constexpr Create = CreateConfigurationQuery;
+};
+
+struct ConfigurationReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_VERSION = 6,
+    VT_AGE_KNOWN = 8,
+    VT_AGE_US = 10,
+    VT_EVACUATION_VERSION = 12,
+    VT_EVACUATED = 14
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool age_known() const {
+    return GetField<uint8_t>(VT_AGE_KNOWN, 0) != 0;
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  uint64_t evacuation_version() const {
+    return GetField<uint64_t>(VT_EVACUATION_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *evacuated() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_EVACUATED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_AGE_KNOWN, 1) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_VERSION, 8) &&
+           VerifyOffset(verifier, VT_EVACUATED) &&
+           verifier.VerifyVector(evacuated()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ConfigurationReportBuilder {
+  typedef ConfigurationReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(ConfigurationReport::VT_NUMBER, number, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ConfigurationReport::VT_VERSION, version, 0);
+  }
+  void add_age_known(bool age_known) {
+    fbb_.AddElement<uint8_t>(ConfigurationReport::VT_AGE_KNOWN, static_cast<uint8_t>(age_known), 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(ConfigurationReport::VT_AGE_US, age_us, 0);
+  }
+  void add_evacuation_version(uint64_t evacuation_version) {
+    fbb_.AddElement<uint64_t>(ConfigurationReport::VT_EVACUATION_VERSION, evacuation_version, 0);
+  }
+  void add_evacuated(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> evacuated) {
+    fbb_.AddOffset(ConfigurationReport::VT_EVACUATED, evacuated);
+  }
+  explicit ConfigurationReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationReport> CreateConfigurationReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t version = 0,
+    bool age_known = false,
+    int64_t age_us = 0,
+    uint64_t evacuation_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> evacuated = 0) {
+  ConfigurationReportBuilder builder_(_fbb);
+  builder_.add_evacuation_version(evacuation_version);
+  builder_.add_age_us(age_us);
+  builder_.add_version(version);
+  builder_.add_number(number);
+  builder_.add_evacuated(evacuated);
+  builder_.add_age_known(age_known);
+  return builder_.Finish();
+}
+
+struct ConfigurationReport::Traits {
+  using type = ConfigurationReport;
+  static auto constexpr Create = CreateConfigurationReport;
+};
+
+inline flatbuffers::Offset<ConfigurationReport> CreateConfigurationReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t version = 0,
+    bool age_known = false,
+    int64_t age_us = 0,
+    uint64_t evacuation_version = 0,
+    const std::vector<uint16_t> *evacuated = nullptr) {
+  auto evacuated__ = evacuated ? _fbb.CreateVector<uint16_t>(*evacuated) : 0;
+  return goldcrestgate::wire::detail::CreateConfigurationReport(
+      _fbb,
+      number,
+      version,
+      age_known,
+      age_us,
+      evacuation_version,
+      evacuated__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -3588,6 +3792,12 @@
   const goldcrestgate::wire::detail::ExecutorSpeeds *message_as_ExecutorSpeeds() const {
     return message_type() == goldcrestgate::wire::detail::Message::ExecutorSpeeds ? static_cast<const goldcrestgate::wire::detail::ExecutorSpeeds *>(message()) : nullptr;
   }
+  const goldcrestgate::wire::detail::ConfigurationQuery *message_as_ConfigurationQuery() const {
+    return message_type() == goldcrestgate::wire::detail::Message::ConfigurationQuery ? static_cast<const goldcrestgate::wire::detail::ConfigurationQuery *>(message()) : nullptr;
+  }
+  const goldcrestgate::wire::detail::ConfigurationReport *message_as_ConfigurationReport() const {
+    return message_type() == goldcrestgate::wire::detail::Message::ConfigurationReport ? static_cast<const goldcrestgate::wire::detail::ConfigurationReport *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -3685,6 +3895,14 @@
   return message_as_ExecutorSpeeds();
 }
 
+template<> inline const goldcrestgate::wire::detail::ConfigurationQuery *Envelope::message_as<goldcrestgate::wire::detail::ConfigurationQuery>() const {
+  return message_as_ConfigurationQuery();
+}
+
+template<> inline const goldcrestgate::wire::detail::ConfigurationReport *Envelope::message_as<goldcrestgate::wire::detail::ConfigurationReport>() const {
+  return message_as_ConfigurationReport();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3856,6 +4074,14 @@
       auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::ExecutorSpeeds *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::ConfigurationQuery: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::ConfigurationQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::ConfigurationReport: {
+      auto ptr = reinterpret_cast<const goldcrestgate::wire::detail::ConfigurationReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/include/goldcrestgate/wire/detail/leasing_decoder.hpp
+++ b/include/goldcrestgate/wire/detail/leasing_decoder.hpp
@@ -27,5 +27,9 @@
 decode(PeerAddresses const& source);
 [[nodiscard]] std::optional<core::peer_message>
 decode(PublishedConfiguration const& source);
+[[nodiscard]] std::optional<core::peer_message>
+decode(ConfigurationQuery const& source);
+[[nodiscard]] std::optional<core::peer_message>
+decode(ConfigurationReport const& source);
 
 } // namespace goldcrestgate::wire::detail
--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -100,6 +100,8 @@
             instance_stats.ready = is_ready();
             instance_stats.owner = scheduler_.owns();
             instance_stats.configuration_version = routes_.version;
+            instance_stats.configuration_age =
+                configuration_exchange_.age(loop_.now());
             instance_stats.caller_connections =
                 caller_server_.connection_count();
             instance_stats.peer_connections = peer_network_.connected_peers();
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -104,6 +104,7 @@
     , log_(log)
     , domains_(number_domains(settings.failure_domains))
     , self_(make_instance_key(settings, domains_))
+    , configuration_exchange_(self_.instance, loop.now())
     , ownership_(
           self_,
           static_cast<std::uint32_t>(settings.cpu_share * weight_per_core),
@@ -378,6 +379,7 @@
         log_.write(log_line{log_level::warning, "peer_silent"}.text(
             "peer", format_instance(unresponsive)));
         scheduler_.origin_lost(unresponsive, now);
+        configuration_exchange_.lost(unresponsive);
         // Reconnects, as the connection may be dead without being closed.
         if (connected_peers_.erase(unresponsive) > 0)
         {
@@ -386,6 +388,7 @@
                 {}, unresponsive, known_peers_[unresponsive]});
         }
     }
+    query_configuration();
     directory_.expire(now);
     decide_ownership();
     follow_succession();
--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -144,6 +144,13 @@
     detail::add_value(out, "gauge", "owner", instance_stats.owner ? 1 : 0);
     detail::add_value(out, "gauge", "configuration_version",
                       instance_stats.configuration_version);
+    if (instance_stats.configuration_age)
+    {
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            *instance_stats.configuration_age);
+        detail::add_value(out, "gauge", "configuration_age_milliseconds",
+                          static_cast<std::uint64_t>(age.count()));
+    }
     detail::add_value(out, "gauge", "caller_connections",
                       instance_stats.caller_connections);
     detail::add_value(out, "gauge", "peer_connections",
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -12,19 +12,10 @@
 namespace
 {
 
-/// Time within which an instance that can reach the store reads a new
-/// configuration.
-constexpr core::duration configuration_read_time =
-    std::chrono::milliseconds{500};
-
 /// When an owner is lost, the speeds that its successor has are older than the
 /// owner's by at most this time.
 constexpr core::duration speed_report_interval = std::chrono::seconds{1};
 
-/// Minimum time between two copies of a configuration to the same instance.
-constexpr core::duration configuration_resend_interval =
-    std::chrono::milliseconds{1500};
-
 } // namespace
 
 void entry_instance::connect(std::string_view peer_address)
@@ -128,45 +119,6 @@
     }
 }
 
-// Each instance reads the configuration from the store. One that has an earlier
-// version, as it cannot reach the store, gets the configuration from the owner
-// of its failure domain. Owners get it from each other, and all instances send
-// it while there is no owner. A large configuration sent by all instances to
-// all others would saturate the links of small instances.
-void entry_instance::forward_configuration(
-    core::instance_key const& peer, core::owner_heartbeat const& heartbeat)
-{
-    auto const now = loop_.now();
-    if (heartbeat.configuration_version >
-        std::max(routes_.version, newest_reported_version_))
-    {
-        newest_reported_version_ = heartbeat.configuration_version;
-        log_.write(log_line{log_level::info, "configuration_behind"}
-                       .number("version",
-                               static_cast<std::int64_t>(routes_.version))
-                       .number("newer", static_cast<std::int64_t>(
-                                            newest_reported_version_))
-                       .text("peer", format_instance(peer.instance))
-                       .flag("store_reachable",
-                             configuration_watch_.reachable()));
-    }
-    bool const is_outdated =
-        heartbeat.configuration_version < routes_.version &&
-        now - configuration_applied_at_ >= configuration_read_time;
-    bool const responsible =
-        scheduler_.owns() ? peer.domain == self_.domain || heartbeat.term != 0
-                          : ownership_.owners(now).empty();
-    auto& sent_at = configuration_sent_at_[peer.instance];
-    if (!is_outdated || !responsible ||
-        now - sent_at < configuration_resend_interval)
-    {
-        return;
-    }
-    sent_at = now;
-    send(peer.instance, core::published_configuration{routes_.version,
-                                                      configuration_document_});
-}
-
 // The designated successors receive the roster before the owner uses a new
 // executor.
 void entry_instance::send_roster()
@@ -282,6 +234,7 @@
                                    .text("peer", format_instance(lost.peer))
                                    .flag("refused", lost.refused));
                 }
+                configuration_exchange_.lost(lost.peer);
                 ownership_.lost(lost.peer, lost.refused, loop_.now());
                 scheduler_.origin_lost(lost.peer, loop_.now());
             },
@@ -304,6 +257,7 @@
     auto& last = last_incarnations_[peer.instance];
     bool const same_process = std::exchange(last, peer) == peer;
     connected_peers_[peer.instance] = peer;
+    configuration_exchange_.connected(peer.instance);
     if (same_process)
     {
         scheduler_.origin_returned(peer.instance, loop_.now());
@@ -365,7 +319,8 @@
                     scheduler_.adopt_crashes(heartbeat.crashes, now, out);
                     apply(out);
                 }
-                forward_configuration(from, heartbeat);
+                configuration_heard(from.instance,
+                                    heartbeat.configuration_version);
                 if (from.domain == self_.domain)
                 {
                     roster_.owner_seen(
@@ -424,6 +379,14 @@
                                         format_instance(from.instance));
                 }
             },
+            [&](core::configuration_query const& query)
+            {
+                answer_configuration_query(from.instance, query);
+            },
+            [&](core::configuration_report const& report)
+            {
+                configuration_reported(from.instance, report);
+            },
             [&](auto const&)
             {
                 log_.write(
--- a/src/app/entry/entry_platform.cpp
+++ b/src/app/entry/entry_platform.cpp
@@ -20,7 +20,8 @@
     std::string_view name,
     std::function<void(adapter::topic_page const&)> const& changed)
 {
-    return {changed, changed,
+    return {changed,
+            changed,
             [this, name](core::error const& failure)
             {
                 log_.write(log_line{log_level::warning, "store_lost"}
@@ -39,7 +40,8 @@
                                     .count())
                         .number("failed_reads", static_cast<std::int64_t>(
                                                     outage.failed_reads)));
-            }};
+            },
+            {}};
 }
 
 topic_callbacks entry_instance::make_operator_callbacks()
@@ -54,6 +56,10 @@
     {
         on_operator_records(page, true);
     };
+    callbacks.on_read = [this](core::time_point as_of)
+    {
+        configuration_exchange_.store_read(as_of);
+    };
     return callbacks;
 }
 
@@ -169,34 +175,4 @@
     apply(out);
 }
 
-void entry_instance::apply_configuration(std::string const& document,
-                                         std::string_view source,
-                                         std::string_view peer)
-{
-    auto table = adapter::decode_configuration(document);
-    if (!table)
-    {
-        log_.write(log_line{log_level::error, "configuration_refused"}.number(
-            "bytes", static_cast<std::int64_t>(document.size())));
-        return;
-    }
-    if (table->version <= routes_.version)
-    {
-        return;
-    }
-    log_line line{log_level::info, "configuration_in_force"};
-    line.number("version", static_cast<std::int64_t>(table->version))
-        .number("earlier", static_cast<std::int64_t>(routes_.version))
-        .number("routes", static_cast<std::int64_t>(table->routes.size()))
-        .text("source", source);
-    if (!peer.empty())
-    {
-        line.text("peer", peer);
-    }
-    log_.write(line);
-    routes_ = std::move(*table);
-    configuration_document_ = document;
-    configuration_applied_at_ = loop_.now();
-}
-
 } // namespace goldcrestgate::app
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -51,6 +51,11 @@
     {{"platform.store_address", required_address,
       "Address of the platform's store."},
      &settings::store_address},
+    {{"platform.configuration_age_limit_ms",
+      integer_rule{500, 10 * minute_ms, 2 * second_ms},
+      "Time within which a published configuration has to be in force; given "
+      "by the platform."},
+     &settings::configuration_age_limit},
     {{"instance.seed_addresses", text_rule{text_form::addresses, "", {}},
       "Peer addresses of instances to connect to at startup, in addition to "
       "those in the store."},
--- a/src/app/entry/topic_watch.cpp
+++ b/src/app/entry/topic_watch.cpp
@@ -125,6 +125,7 @@
     }
     auto const& page = std::get<adapter::topic_page>(result);
     bool const is_snapshot = !next_offset_;
+    auto const as_of = read_as_of(page, is_snapshot);
     next_offset_ = page.next_offset;
     // Scheduled before the callbacks, so that an exception does not end the
     // watch.
@@ -138,6 +139,22 @@
     {
         callbacks_.on_appended(page);
     }
+    if (callbacks_.on_read)
+    {
+        callbacks_.on_read(as_of);
+    }
+}
+
+// The store answers without a record only after the wait, which it begins when
+// it receives the request.
+core::time_point topic_watch::read_as_of(adapter::topic_page const& page,
+                                         bool is_snapshot) const
+{
+    bool const has_waited =
+        !is_snapshot && page.records.empty() && page.malformed_records == 0 &&
+        loop_.now() - read_started_at_ >= timing_.long_poll_wait;
+    return has_waited ? read_started_at_ + timing_.long_poll_wait
+                      : read_started_at_;
 }
 
 void topic_watch::on_failure(core::error const& failure)
--- a/src/wire/frame_decoder.cpp
+++ b/src/wire/frame_decoder.cpp
@@ -330,6 +330,10 @@
         return decode(*envelope.message_as_ExecutorRoster());
     case detail::Message::PeerAddresses:
         return decode(*envelope.message_as_PeerAddresses());
+    case detail::Message::ConfigurationQuery:
+        return decode(*envelope.message_as_ConfigurationQuery());
+    case detail::Message::ConfigurationReport:
+        return decode(*envelope.message_as_ConfigurationReport());
     case detail::Message::PublishedConfiguration:
         return decode(*envelope.message_as_PublishedConfiguration());
     default:
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/wire/detail/envelope.hpp"
 
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -313,6 +314,17 @@
                 .Union()};
 }
 
+auto to_wire(builder& out, std::set<core::domain_id> const& domains)
+{
+    std::vector<std::uint16_t> ids;
+    ids.reserve(domains.size());
+    for (auto const domain : domains)
+    {
+        ids.push_back(domain.value());
+    }
+    return out.CreateVector(ids);
+}
+
 encoded_message encode(builder& out, core::owner_heartbeat const& message)
 {
     auto const& [term, highest_term, weight, leaving, free_millicores,
@@ -326,13 +338,7 @@
         successor_ids.push_back(successor.value());
     }
     auto const successor_list = out.CreateVector(successor_ids);
-    std::vector<std::uint16_t> domain_ids;
-    domain_ids.reserve(evacuated.domains.size());
-    for (auto const domain : evacuated.domains)
-    {
-        domain_ids.push_back(domain.value());
-    }
-    auto const domain_list = out.CreateVector(domain_ids);
+    auto const domain_list = to_wire(out, evacuated.domains);
     // Heartbeats are frequent and usually have no crashes to report.
     fb::Offset<fb::Vector<fb::Offset<detail::TaskCrashes>>> crash_list;
     if (!crashes.empty())
@@ -427,6 +433,27 @@
             detail::CreatePublishedConfiguration(out, version, bytes).Union()};
 }
 
+encoded_message encode(builder& out, core::configuration_query const& message)
+{
+    auto const& [number, version, wants_document] = message;
+    return {
+        detail::Message::ConfigurationQuery,
+        detail::CreateConfigurationQuery(out, number, version, wants_document)
+            .Union()};
+}
+
+encoded_message encode(builder& out, core::configuration_report const& message)
+{
+    auto const& [number, version, age, evacuated] = message;
+    auto const domain_list = to_wire(out, evacuated.domains);
+    return {detail::Message::ConfigurationReport,
+            detail::CreateConfigurationReport(
+                out, number, version, age.has_value(),
+                age.value_or(core::duration{}).count(), evacuated.version,
+                domain_list)
+                .Union()};
+}
+
 template <typename Integer>
 void append_little_endian(std::string& out, Integer value)
 {
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -77,6 +77,20 @@
     return tasks;
 }
 
+template <typename Message>
+core::evacuations decode_evacuations(Message const& source)
+{
+    core::evacuations evacuated{source.evacuation_version(), {}};
+    if (auto const* const domains = source.evacuated())
+    {
+        for (auto const domain : *domains)
+        {
+            evacuated.domains.emplace(domain);
+        }
+    }
+    return evacuated;
+}
+
 } // namespace
 
 std::optional<core::peer_message> decode(JobOffer const& source)
@@ -170,14 +184,7 @@
     }
     message.owner_known = source.owner_known();
     message.yields_to = core::instance_id{source.yields_to()};
-    message.evacuated.version = source.evacuation_version();
-    if (auto const* const domains = source.evacuated())
-    {
-        for (auto const domain : *domains)
-        {
-            message.evacuated.domains.emplace(domain);
-        }
-    }
+    message.evacuated = decode_evacuations(source);
     message.crashes = decode_crashes(source);
     return message;
 }
@@ -234,6 +241,27 @@
     return message;
 }
 
+std::optional<core::peer_message> decode(ConfigurationQuery const& source)
+{
+    return core::configuration_query{source.number(), source.version(),
+                                     source.wants_document()};
+}
+
+std::optional<core::peer_message> decode(ConfigurationReport const& source)
+{
+    if (source.age_us() < 0)
+    {
+        return std::nullopt;
+    }
+    core::configuration_report message{
+        source.number(), source.version(), {}, decode_evacuations(source)};
+    if (source.age_known())
+    {
+        message.age = core::duration{source.age_us()};
+    }
+    return message;
+}
+
 std::optional<core::peer_message> decode(PublishedConfiguration const& source)
 {
     auto const& bytes = *source.document();
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -118,6 +118,10 @@
         core::executor_speeds{{{"i-1", 0.625, 12.0}}},
         core::peer_addresses{{"127.0.0.1:9101", "127.0.0.1:9102"}},
         core::published_configuration{34, "{\"version\":34}"},
+        core::configuration_query{38, 39, true},
+        core::configuration_report{
+            40, 41, std::chrono::milliseconds{42}, {43, {core::domain_id{44}}}},
+        core::configuration_report{45, 46, std::nullopt, {}},
         core::executor_roster{35,
                               {{"i-1",
                                 "127.0.0.1:9103",
--- a/tests/unit/odd_store_pages.cpp
+++ b/tests/unit/odd_store_pages.cpp
@@ -202,7 +202,9 @@
                                     throw std::runtime_error{"fault"};
                                 },
                                 [](adapter::topic_page const&) {},
-                                [](core::error const&) {}, [] {}}};
+                                [](core::error const&) {},
+                                [](app::read_outage const&) {},
+                                {}}};
         watch.resume();
         CPPUNIT_ASSERT(store.run_until(
             [&store]
--- a/tests/unit/topic_watch.cpp
+++ b/tests/unit/topic_watch.cpp
@@ -57,7 +57,8 @@
                 {
                     CPPUNIT_FAIL("a read failed");
                 },
-                [](app::read_outage const&) {}};
+                [](app::read_outage const&) {},
+                {}};
     }
 
     template <typename Condition>
