Close idle connections when one that was reused has gone silent

Cause: a read notices a silent connection only by its timeout, and the next read takes the next idle connection of the pool, which is silent as well. Change: after a timeout on a connection that was idle before, the pool of the client is replaced; its idle connections are closed. A timeout on a new connection keeps them. Measured: unit.http silent_connection_is_closed_with_the_idle_ones fails on the earlier client and passes; timeout_on_a_new_connection_keeps_the_idle_ones passes on both.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -53,6 +53,41 @@
     return *entry;
 }
 
+/// @brief The open connections to one address, in use or idle.
+class connection_pool
+{
+public:
+    connection_pool(event_loop& loop, socket_address const& address,
+                    http_client_options const& options)
+    {
+        h2o_socketpool_init_by_address(
+            &pool_, const_cast<sockaddr*>(address.data()), address.size(), 0,
+            options.max_connections);
+        auto const idle_timeout =
+            std::chrono::ceil<std::chrono::milliseconds>(options.idle_timeout);
+        h2o_socketpool_set_timeout(
+            &pool_, loop.native(),
+            static_cast<std::uint64_t>(idle_timeout.count()));
+    }
+
+    /// @brief Closes the idle connections.
+    /// @pre no connection is in use
+    ~connection_pool()
+    {
+        h2o_socketpool_dispose(&pool_);
+    }
+    connection_pool(connection_pool const&) = delete;
+    connection_pool& operator=(connection_pool const&) = delete;
+
+    [[nodiscard]] h2o_socketpool_t* native()
+    {
+        return &pool_;
+    }
+
+private:
+    h2o_socketpool_t pool_{};
+};
+
 std::string format_request(http_call const& call, std::string const& host)
 {
     std::string text;
@@ -93,8 +128,13 @@
     timer timeout_timer;
     /// Null before the connection attempt and after the end of the call.
     h2o_http1client_t* client = nullptr;
+    /// The pool of the call's connection.
+    std::shared_ptr<connection_pool> pool;
     bool connected = false;
-    std::size_t bytes_written_before = 0;
+    /// Whether h2o has not returned from the connection attempt yet.
+    bool connecting = false;
+    /// Whether the connection was idle before.
+    bool reuses_connection = false;
     http_result result;
 };
 
@@ -135,7 +175,7 @@
     event_loop& loop_;
     socket_address address_;
     http_client_options options_;
-    h2o_socketpool_t pool_{};
+    std::shared_ptr<connection_pool> pool_;
     http_client::call_id last_id_ = 0;
     std::size_t active_ = 0;
     std::deque<http_client::call_id> queue_;
@@ -146,15 +186,8 @@
     : loop_(loop)
     , address_(std::move(address))
     , options_(options)
+    , pool_(std::make_shared<connection_pool>(loop_, address_, options_))
 {
-    h2o_socketpool_init_by_address(
-        &pool_, const_cast<sockaddr*>(address_.data()), address_.size(), 0,
-        options_.max_connections);
-    auto const idle_timeout =
-        std::chrono::ceil<std::chrono::milliseconds>(options_.idle_timeout);
-    h2o_socketpool_set_timeout(
-        &pool_, loop_.native(),
-        static_cast<std::uint64_t>(idle_timeout.count()));
 }
 
 http_client_state::~http_client_state()
@@ -166,7 +199,6 @@
             h2o_http1client_cancel(call->client);
         }
     }
-    h2o_socketpool_dispose(&pool_);
 }
 
 http_client::call_id http_client_state::start(http_call call,
@@ -202,9 +234,12 @@
     ++active_;
     call.timeout_timer.start_at(
         std::min(call.deadline, loop_.now() + options_.connect_timeout));
-    h2o_http1client_connect_with_pool(&call.client, &call,
-                                      &context_of(loop_).context, &pool_,
-                                      &http_client_state::on_connect);
+    call.pool = pool_;
+    call.connecting = true;
+    h2o_http1client_connect_with_pool(
+        &call.client, &call, &context_of(loop_).context, pool_->native(),
+        &http_client_state::on_connect);
+    call.connecting = false;
 }
 
 h2o_http1client_head_cb http_client_state::on_connect(h2o_http1client_t* client,
@@ -235,7 +270,8 @@
         return nullptr;
     }
     call.connected = true;
-    call.bytes_written_before = client->sock->bytes_written;
+    // h2o calls back at once only for an idle connection.
+    call.reuses_connection = call.connecting;
     call.timeout_timer.start_at(call.deadline);
     call.request_buffer =
         h2o_iovec_init(call.request.data(), call.request.size());
@@ -321,6 +357,13 @@
     if (!is_queued)
     {
         h2o_http1client_cancel(std::exchange(call.client, nullptr));
+        // If an established connection has gone silent, so may have the idle
+        // ones; each further one would cost the timeout of a call.
+        if (call.connected && call.reuses_connection)
+        {
+            pool_ =
+                std::make_shared<connection_pool>(loop_, address_, options_);
+        }
     }
     else
     {
--- a/tests/unit/http.cpp
+++ b/tests/unit/http.cpp
@@ -130,6 +130,53 @@
         });
 }
 
+/// Leaves idle connections by answering calls that were made together.
+void open_connections(http_fixture& fixture, io::http_client& client,
+                      std::size_t count,
+                      std::vector<io::http_reply> const& replies)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        client.start({.path = "/hold"}, [](io::http_result const&) {});
+    }
+    fixture.run_until(
+        [&]
+        {
+            return replies.size() == count;
+        });
+    for (auto const& reply : replies)
+    {
+        reply.send({200, "answer", "text/plain", {}});
+    }
+    fixture.run_until(
+        [&]
+        {
+            return client.open_calls() == 0;
+        });
+    CPPUNIT_ASSERT_EQUAL(count, fixture.server.connection_count());
+}
+
+/// Makes a call that is answered only after its timeout.
+void await_timeout(http_fixture& fixture, io::http_client& client,
+                   std::vector<io::http_reply> const& replies,
+                   bool const& disconnected)
+{
+    bool timed_out = false;
+    client.start({.path = "/hold", .timeout = 30ms},
+                 [&](io::http_result const& result)
+                 {
+                     timed_out =
+                         result.failure &&
+                         result.failure->code == core::error_code::io_timeout;
+                 });
+    fixture.run_until(
+        [&]
+        {
+            return timed_out && disconnected;
+        });
+    replies.back().send({200, "late", "text/plain", {}});
+}
+
 class http_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(http_test);
@@ -137,6 +184,8 @@
     CPPUNIT_TEST(refused_connection_is_reported_as_not_sent);
     CPPUNIT_TEST(lost_response_is_reported_as_possibly_received);
     CPPUNIT_TEST(late_response_after_a_timeout_is_dropped);
+    CPPUNIT_TEST(silent_connection_is_closed_with_the_idle_ones);
+    CPPUNIT_TEST(timeout_on_a_new_connection_keeps_the_idle_ones);
     CPPUNIT_TEST(deferred_reply_and_caller_disconnect_are_handled);
     CPPUNIT_TEST(slow_caller_is_answered_408);
     CPPUNIT_TEST(half_closed_caller_is_answered_400);
@@ -279,6 +328,53 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"second"}, second->body);
     }
 
+    // Guards against calls that time out one after another, each on another
+    // idle connection, after all connections to a server have gone silent.
+    void silent_connection_is_closed_with_the_idle_ones()
+    {
+        // Neither side closes idle connections by itself.
+        http_fixture fixture{{.request_timeout = 1h}};
+        std::vector<io::http_reply> replies;
+        bool disconnected = false;
+        hold_requests(fixture, replies, disconnected);
+        io::http_client client{
+            fixture.loop, fixture.address(), {.idle_timeout = 1h}};
+        open_connections(fixture, client, 3, replies);
+        await_timeout(fixture, client, replies, disconnected);
+        fixture.run_until(
+            [&]
+            {
+                return fixture.server.connection_count() == 0;
+            });
+    }
+
+    // Guards against new connections at each timeout of a server that hangs
+    // without having lost its connections.
+    void timeout_on_a_new_connection_keeps_the_idle_ones()
+    {
+        // Neither side closes idle connections by itself.
+        http_fixture fixture{{.request_timeout = 1h}};
+        std::vector<io::http_reply> replies;
+        bool disconnected = false;
+        hold_requests(fixture, replies, disconnected);
+        io::http_client client{
+            fixture.loop, fixture.address(), {.idle_timeout = 1h}};
+        client.start({.path = "/hold"}, [](io::http_result const&) {});
+        fixture.run_until(
+            [&]
+            {
+                return replies.size() == 1;
+            });
+        await_timeout(fixture, client, replies, disconnected);
+        replies.at(0).send({200, "answer", "text/plain", {}});
+        fixture.run_until(
+            [&]
+            {
+                return client.open_calls() == 0;
+            });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.server.connection_count());
+    }
+
     // Guards against requests that stay open after their caller has
     // disconnected, and against a failure when they are answered afterwards.
     void deferred_reply_and_caller_disconnect_are_handled()
