Answer 503 for an unknown route while the configuration may be outdated

Callers saw 404, which is final, for a route that a newer version has. Cause: an instance took its configuration for the newest one, however long ago that was confirmed. Known routes are served as before. Measured: unknown_route_is_unavailable_while_the_version_is_old (in failure.configuration_reach) passes.

--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -162,7 +162,12 @@
     auto const* const route = find_route(request);
     if (route == nullptr)
     {
-        refuse_request(reply, status_not_found, "unknown_queue", request.path);
+        // An older configuration does not show that there is no such route.
+        bool const is_current = is_configuration_current();
+        refuse_request(reply,
+                       is_current ? status_not_found : status_unavailable,
+                       is_current ? "unknown_queue" : "configuration_outdated",
+                       request.path);
         return;
     }
     auto const id = job_id_of(request.path, *route);
@@ -225,7 +230,8 @@
     auto const* const route = find_route(request);
     if (route == nullptr)
     {
-        reply.send({status_not_found});
+        reply.send({is_configuration_current() ? status_not_found
+                                               : status_unavailable});
         return;
     }
     bool const is_queue_query =
--- a/tests/failure/test_configuration_reach.py
+++ b/tests/failure/test_configuration_reach.py
@@ -1,7 +1,7 @@
 """Guards against configurations that stay with the few instances that can read
 the store, although all instances reach each other."""
 
-from harness import system
+from harness import http_json, system
 from harness.leased import LeasedSystem
 from harness.processes import wait_until
 
@@ -12,6 +12,7 @@
                       domains=("north", "east")) as running:
         versions_pass_owners_without_the_store(running)
         restarted_instance_gets_the_version_in_force(running)
+        unknown_route_is_unavailable_while_the_version_is_old(running)
 
 
 def versions_pass_owners_without_the_store(running):
@@ -32,6 +33,25 @@
     await_version(running, 2)
 
 
+def unknown_route_is_unavailable_while_the_version_is_old(running):
+    """Guards against a 404 for a route that a version adds which the instance
+    cannot know of yet."""
+    instance = running.instances[0]
+    assert unknown_route_status(instance) == 404
+    for other in running.instances:
+        other.relay.cut()
+    wait_until(lambda: unknown_route_status(instance) == 503, "503")
+    assert instance.submit(1, 2, 60).status == 200
+    for other in running.instances:
+        other.relay.clear_faults()
+    wait_until(lambda: unknown_route_status(instance) == 404, "404")
+
+
+def unknown_route_status(instance):
+    return http_json.request(instance.callers_address, "POST",
+                             "/new/0000000000000001", "{}").status
+
+
 def leave_one_reader(running):
     """Cuts all instances but one, which is no owner, off the store."""
     reader = next(i for i in running.instances[:3] if i.metric("owner") == 0)
