--- a/include/goldcrestgate/core/leasing/configuration_exchange.hpp
+++ b/include/goldcrestgate/core/leasing/configuration_exchange.hpp
@@ -22,7 +22,8 @@
 /// store does not serve this one.
 ///
 /// The store is the first source; while it serves an instance, the instance
-/// asks no other. Otherwise it asks the other instances in turn, one at a time,
+/// asks no other, except for a version that it should have read by now.
+/// Otherwise it asks the other instances in turn, one at a time,
 /// for their version and its age, and requests the document from one that has a
 /// newer version. Any instance answers, whatever its role. An instance asks
 /// only for what it lacks, so a document crosses each link once.
@@ -47,10 +48,13 @@
     /// @param as_of all that was published until then is known
     void store_read(time_point as_of);
 
-    /// @brief Handles the version in a heartbeat of a peer.
+    /// @brief Handles the version that a peer has.
     void heard(instance_id peer, std::uint64_t version, time_point now);
 
+    /// @brief Handles a new connection to a peer, which may be a new process.
     void connected(instance_id peer);
+
+    /// @brief Handles the loss of a peer; an open query to it has no answer.
     void lost(instance_id peer);
 
     /// @brief Returns the query that is due.
--- a/src/core/leasing/configuration_exchange.cpp
+++ b/src/core/leasing/configuration_exchange.cpp
@@ -111,8 +111,8 @@
         }
     }
     auto const known_age = age(now);
-    bool const is_outdated = !known_age || *known_age >= read_overdue ||
-                             newest_reported_ > version_;
+    bool const is_outdated =
+        !known_age || *known_age >= read_overdue || newest_reported_ > version_;
     if (is_store_overdue && is_outdated)
     {
         auto const next = next_in_turn(
