Refuse reports of a configuration with an age out of range

Cause: points in time are computed from the age of a report; one near the end of the range overflowed, and the configuration counted as up to date. Found by reading the change. Change: the decoder refuses ages below 0 and over a year. Measured: unit.frame_codec out_of_range_values_are_rejected, with the new cases, passes; without the check the largest age was decoded (by reading, not run).

--- a/include/goldcrestgate/core/leasing/configuration_exchange.hpp
+++ b/include/goldcrestgate/core/leasing/configuration_exchange.hpp
@@ -23,10 +23,10 @@
 ///
 /// The store is the first source; while it serves an instance, the instance
 /// asks no other, except for a version that it should have read by now.
-/// Otherwise it asks the other instances in turn, one at a time,
-/// for their version and its age, and requests the document from one that has a
-/// newer version. Any instance answers, whatever its role. An instance asks
-/// only for what it lacks, so a document crosses each link once.
+/// Otherwise it asks the other instances in turn, one at a time, for their
+/// version and its age, and requests the document from one that has a newer
+/// version. Any instance answers, whatever its role. An instance asks only for
+/// what it lacks, and one peer at a time for a document.
 ///
 /// The age is the time since the version was the newest one in the store. An
 /// answer of a peer counts from the time of the query, as messages may be
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -249,7 +249,9 @@
 
 std::optional<core::peer_message> decode(ConfigurationReport const& source)
 {
-    if (source.age_us() < 0)
+    // Points in time are computed from the age and must not overflow.
+    constexpr core::duration max_age = std::chrono::hours{24 * 365};
+    if (source.age_us() < 0 || source.age_us() > max_age.count())
     {
         return std::nullopt;
     }
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -290,6 +290,12 @@
         request.kind = static_cast<core::forward_kind>(3);
         CPPUNIT_ASSERT(decode_error(frame_of(request)) ==
                        core::error_code::malformed_frame);
+        for (auto const age : {core::duration{-1}, core::duration::max()})
+        {
+            core::configuration_report const report{1, 2, age, {}};
+            CPPUNIT_ASSERT(decode_error(frame_of(report)) ==
+                           core::error_code::malformed_frame);
+        }
     }
 
     // Guards against a report that gives up tasks without cause or fills the
