--- a/review/stand-2/loopback.py
+++ b/review/stand-2/loopback.py
@@ -255,6 +255,7 @@
         self.guards = guards
         self.up = False
         self.heart = None
+        self.expiry = None
         self.on_order = None
         self.state = "ready"
 
@@ -285,6 +286,7 @@
                 "born": self.born, "sequence": self.sequence}
 
     async def register(self):
+        self.beat_at = time.monotonic()
         await self.platform.store.put("keyed.servers", self.name,
                                       json.dumps(self.entry()).encode())
 
@@ -295,6 +297,8 @@
 
     async def start(self):
         """Registers, then serves, then registers at each heartbeat."""
+        if self.expiry:
+            self.expiry.cancel()
         self.reset()
         await self.register()
         await self.listen()
@@ -315,6 +319,15 @@
         self.runs = {}
         await self.shut()
         self.platform.record.note(f"{self.name} crashes with {lost}")
+        born = self.born
+
+        async def expire():
+            await asyncio.sleep(3 * HEARTBEAT - (time.monotonic() -
+                                                 self.beat_at))
+            if not self.up and self.born == born:
+                await self.platform.store.put("keyed.servers", self.name, b"")
+                self.platform.record.note(f"the entry of {self.name} expires")
+        self.expiry = asyncio.ensure_future(expire())
 
     def answer(self, status, **fields):
         return status, json.dumps({"clock_ms": self.clock(), "born": self.born,
@@ -702,6 +715,8 @@
         for entry in self.entries:
             entry.kill()
         for executor in self.executors:
+            if executor.expiry:
+                executor.expiry.cancel()
             if executor.up:
                 executor.up = False
                 executor.heart.cancel()
@@ -762,6 +777,7 @@
 def run(main):
     """Runs a case: exits with 1 if it found a broken rule, 0 if not, and 2 if
     it could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = sys.argv[1]
     record = Record(os.path.join(folder, "record.txt"))
     platform = None
