--- a/review/stand-2/loopback.py
+++ b/review/stand-2/loopback.py
@@ -641,9 +641,9 @@
 
 
 class Platform:
-    def __init__(self, record, zones=("za", "zb", "zc"), entries=2, net=0):
+    def __init__(self, record, zones=("za", "zb", "zc"), entries=2, net=None):
         self.record = record
-        self.net = net
+        self.net = os.getpid() % 200 if net is None else net
         self.zones = [(zone, index + 1) for index, zone in enumerate(zones)]
         self.folder = tempfile.mkdtemp(prefix="goldcrestgate-review-")
         self.program = os.path.join(ROOT, self.command())
