Do not renew leases of inherited runs without a job

Cause: the earlier owner limits the lease of a run to 1.2 s after its caller has left and stops the run after 0.65 s. Its successor cannot know that the caller has left. It assumed that all callers of inherited runs had waited at the last message of the earlier owner, renewed the leases until 1.2 s after that, and stopped runs without a job 400 ms after its claim.

Ruled out: sending the withdrawal to the successor, since the frozen owner may be the only instance that has it; another limit after the last message of the earlier owner, which two successions or a lost stop would break.

Change: while an executor lists a run for which no job has been offered, its lease is not renewed. What is left of the lease was granted by an owner that knew the caller. Such a run is stopped after 150 ms if another run needs the lease, otherwise after 400 ms. claim_ownership no longer names the earlier owner.

--- a/include/goldcrestgate/core/leasing/detail/executor_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/executor_record.hpp
@@ -111,8 +111,6 @@
     /// Set for a run whose job is not known here, such as that of an earlier
     /// owner until its job is offered again; the run is stopped at this time.
     std::optional<time_point> orphan_deadline;
-    /// Time until which the lease may keep such a run alive.
-    time_point orphan_lease_limit{};
     /// Whether an executor may have crashed under the task; nothing is started
     /// beside the run.
     bool isolated = false;
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -111,9 +111,6 @@
     /// Renewals of the token since ownership was taken.
     std::uint64_t token_renewals = 0;
     time_point owner_since{};
-    /// Time until which leases may keep runs of the earlier owner alive that no
-    /// job claims.
-    time_point inherited_lease_limit{};
     /// Times before which the last messages of other instances were not sent.
     std::map<instance_id, time_point> heard;
     /// Whether all executors of the earlier owner are listed.
@@ -415,6 +412,10 @@
     /// submission of the job started.
     void adopt_run(job_record& job, executor_record& executor, run_record& run,
                    scheduler_context& context);
+    /// Whether a run is to be stopped because no job has been offered for it.
+    [[nodiscard]] static bool is_orphaned(executor_record const& executor,
+                                          run_record const& run,
+                                          time_point now);
     void check_runs(executor_record& executor, scheduler_context& context);
     void record_progress(executor_record& executor, listed_run const& listed,
                          scheduler_context& context);
@@ -454,8 +455,10 @@
     [[nodiscard]] time_point lease_limit(executor_record const& executor,
                                          time_point now) const;
     [[nodiscard]] time_point lease_limit(run_record const& run) const;
-    /// Time since the caller was last known to wait until its runs must end.
-    [[nodiscard]] duration lease_without_caller() const;
+    /// Time until which a lease may keep runs alive whose caller was last known
+    /// to wait at a time: they end before the caller may submit the job again.
+    [[nodiscard]] time_point
+    lease_limit_without_caller(time_point waiting_at) const;
     /// End of the lease that a start grants: it does not extend the lease
     /// beyond its limit.
     [[nodiscard]] time_point start_lease_end(executor_record const& executor,
--- a/include/goldcrestgate/core/leasing/domain_ownership.hpp
+++ b/include/goldcrestgate/core/leasing/domain_ownership.hpp
@@ -31,9 +31,6 @@
     fencing_token token;
     /// Reason of the claim, as a stable snake_case word.
     std::string_view reason;
-    /// The earlier owner, if its ownership lasted long enough for it to end all
-    /// inherited runs without a caller; otherwise 0.
-    instance_id earlier_owner;
 };
 
 /// @brief Release ownership.
@@ -226,11 +223,6 @@
     /// The last owner that was alive; 0 after one that has ended.
     instance_id last_owner_;
     fencing_token last_owner_token_;
-    /// The last owner that was followed, its term, and the time of the first
-    /// heartbeat of that term.
-    instance_id followed_owner_;
-    std::uint64_t followed_term_ = 0;
-    time_point followed_since_{};
     /// Whether the last live owner designated this instance as a successor.
     bool designated_ = false;
     /// The successors that the last live owner designated.
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -45,13 +45,9 @@
     /// @param roster_known whether all executors that the earlier owner used
     /// are listed; otherwise jobs that it may have started wait until its
     /// leases have certainly expired
-    /// @param earlier_owner the instance that owned the executors, 0 if
-    /// unknown; leases of its runs that no job claims are renewed only until
-    /// the callers that left after its last message may resubmit their jobs
     /// @pre @a token is higher than every token that this process has used
     void take_over(fencing_token token, bool roster_known, time_point now,
-                   std::vector<scheduler_action>& out,
-                   instance_id earlier_owner = {});
+                   std::vector<scheduler_action>& out);
 
     /// @brief Releases all executors and discards all jobs without verdicts;
     /// the instances that have the callers offer the jobs to the next owner.
--- a/src/app/entry/entry_ownership.cpp
+++ b/src/app/entry/entry_ownership.cpp
@@ -29,7 +29,7 @@
                        .text("reason", claim->reason)
                        .number("term", static_cast<std::int64_t>(claim->term)));
         scheduler_.take_over(claim->token, roster_.claimed(claim->term), now,
-                             out, claim->earlier_owner);
+                             out);
         if (!roster_.complete())
         {
             // The entries read so far may date from before a pause.
--- a/src/core/leasing/domain_ownership.cpp
+++ b/src/core/leasing/domain_ownership.cpp
@@ -77,9 +77,6 @@
 /// of the failure domain; cuts last for several seconds.
 constexpr duration membership_memory = std::chrono::seconds{30};
 
-/// Time after which an owner has ended all inherited runs without a caller.
-constexpr duration settled_ownership = std::chrono::milliseconds{1300};
-
 /// Increment of the term after a refusal while claiming: clocks of instances
 /// differ by seconds, so an earlier owner may have used a later time.
 constexpr std::uint64_t refused_term_step_ms = 5'000;
@@ -123,12 +120,6 @@
     {
         return;
     }
-    if (heartbeat.term != followed_term_)
-    {
-        followed_owner_ = owner;
-        followed_term_ = heartbeat.term;
-        followed_since_ = now;
-    }
     if (!heartbeat.leaving)
     {
         last_owner_ = owner;
@@ -348,9 +339,6 @@
     }
     last_owner_ = {};
     yield_checked_at_ = now;
-    bool const is_settled =
-        owner_seen_at_ &&
-        *owner_seen_at_ - followed_since_ >= settled_ownership;
     // The last owner may live and have renewed its token since it was heard.
     auto const known_term = std::max(highest_term_, highest_token_term_);
     term_ = known_term == 0
@@ -361,8 +349,7 @@
     return claim_ownership{term_, make_owner_token(term_, self_.instance),
                            invited        ? "invited"
                            : owner_silent ? "owner_silent"
-                                          : "no_owner",
-                           is_settled ? followed_owner_ : instance_id{}};
+                                          : "no_owner"};
 }
 
 bool domain_ownership::hears_majority(time_point now) const
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -46,16 +46,9 @@
 
 void job_scheduler::take_over(fencing_token token, bool roster_known,
                               time_point now,
-                              std::vector<scheduler_action>& out,
-                              instance_id earlier_owner)
+                              std::vector<scheduler_action>& out)
 {
     scheduler_context context{now, out};
-    // Until then the earlier owner has stopped the runs of callers that left.
-    auto const heard = state_.heard.find(earlier_owner);
-    state_.inherited_lease_limit =
-        heard == state_.heard.end()
-            ? now
-            : heard->second + state_.lease_without_caller();
     state_.owner = true;
     state_.fenced = false;
     state_.token = token;
@@ -276,7 +269,7 @@
     // for some time, but their leases end before it may arrive elsewhere.
     detail::job_cancellation withdrawn{now +
                                            state_.limits.resubmission_delay / 2,
-                                       now + state_.lease_without_caller()};
+                                       state_.lease_limit_without_caller(now)};
     if (auto const& earlier = record.cancellation)
     {
         withdrawn.at = std::min(withdrawn.at, earlier->at);
@@ -291,9 +284,8 @@
     auto const until = now + lost_origin_wait(state_.limits);
     // A new process of the instance does not have the callers.
     auto const heard = state_.heard.find(origin);
-    auto const lease_limit =
-        state_.lease_without_caller() +
-        (heard == state_.heard.end() ? now : heard->second);
+    auto const lease_limit = state_.lease_limit_without_caller(
+        heard == state_.heard.end() ? now : heard->second);
     for (auto& [id, job] : state_.jobs)
     {
         if (job.origin == origin && !job.cancellation)
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -26,9 +26,6 @@
 /// heartbeats.
 constexpr duration orphan_timeout = std::chrono::milliseconds{400};
 
-/// The same time if the lease of the run cannot be renewed meanwhile.
-constexpr duration short_orphan_timeout = std::chrono::milliseconds{150};
-
 } // namespace
 
 void scheduler_state::probe_owner(fencing_token silent_token,
@@ -140,7 +137,6 @@
     added.sent_at = now;
     added.confirmed_at = now;
     added.orphan_deadline = orphan_deadline;
-    added.orphan_lease_limit = now;
     return added;
 }
 
@@ -162,12 +158,8 @@
         {
             continue;
         }
-        auto const last_stop = inherited_lease_limit - 2 * limits.stop_time;
-        auto& run = add_listed_run(
-            executor, listed.run, context.now,
-            std::clamp(last_stop, context.now + short_orphan_timeout,
-                       context.now + orphan_timeout));
-        run.orphan_lease_limit = inherited_lease_limit;
+        add_listed_run(executor, listed.run, context.now,
+                       context.now + orphan_timeout);
     }
     for (auto& run : executor.runs)
     {
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -176,7 +176,6 @@
             if (run.run.task.job == id)
             {
                 run.orphan_deadline = context.now;
-                run.orphan_lease_limit = context.now;
                 request_stop(executor, run, context);
             }
         }
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -32,6 +32,10 @@
 constexpr double clock_drift = 1.04;
 constexpr duration lease_expiry_margin = std::chrono::milliseconds{60};
 
+/// Time for which an orphan is kept beside runs whose callers wait: their lease
+/// cannot be renewed until it has ended.
+constexpr duration shared_lease_orphan_timeout = std::chrono::milliseconds{150};
+
 /// An executor without runs is dropped after it has been unlisted for this
 /// time.
 constexpr duration unlisted_timeout = std::chrono::seconds{5};
@@ -48,16 +52,19 @@
     return scale_duration(lease, clock_drift) + lease_expiry_margin;
 }
 
-duration scheduler_state::lease_without_caller() const
+time_point
+scheduler_state::lease_limit_without_caller(time_point waiting_at) const
 {
-    return limits.resubmission_delay - 2 * limits.stop_time;
+    return waiting_at + limits.resubmission_delay - 2 * limits.stop_time;
 }
 
+// Whether and since when the caller of an orphan has left is not known. The
+// owner that granted the lease limited it by what it knew of the caller.
 time_point scheduler_state::lease_limit(run_record const& run) const
 {
     if (run.orphan_deadline)
     {
-        return run.orphan_lease_limit;
+        return time_point::min();
     }
     auto const job = jobs.find(run.run.task.job);
     if (job == jobs.end())
@@ -70,7 +77,7 @@
     auto const origin = heard.find(job->second.origin);
     return origin == heard.end()
                ? limit
-               : std::min(limit, origin->second + lease_without_caller());
+               : std::min(limit, lease_limit_without_caller(origin->second));
 }
 
 time_point scheduler_state::lease_limit(executor_record const& executor,
@@ -356,6 +363,24 @@
     adopt_or_stop_orphans(executor, context);
 }
 
+bool scheduler_state::is_orphaned(executor_record const& executor,
+                                  run_record const& run, time_point now)
+{
+    if (!run.orphan_deadline)
+    {
+        return false;
+    }
+    bool const others_need_lease =
+        std::ranges::any_of(executor.runs,
+                            [](run_record const& other)
+                            {
+                                return !other.orphan_deadline;
+                            });
+    return now >= *run.orphan_deadline ||
+           (others_need_lease &&
+            now >= run.confirmed_at + shared_lease_orphan_timeout);
+}
+
 // A task of which a late run is listed waits for the end of that run; it must
 // not start elsewhere meanwhile.
 void scheduler_state::adopt_or_stop_orphans(executor_record& executor,
@@ -368,10 +393,8 @@
         {
             adopt_run(job->second, executor, run, context);
         }
-        bool const is_unknown = run.phase == run_phase::running &&
-                                run.orphan_deadline &&
-                                *run.orphan_deadline <= context.now;
-        if (is_unknown)
+        if (run.phase == run_phase::running &&
+            is_orphaned(executor, run, context.now))
         {
             request_stop(executor, run, context);
         }
@@ -400,8 +423,7 @@
         }
         bool const stalled = is_stalled(run);
         bool const orphaned = run.phase == run_phase::running &&
-                              run.orphan_deadline &&
-                              *run.orphan_deadline <= context.now;
+                              is_orphaned(executor, run, context.now);
         if (stalled)
         {
             scheduler_log_event log_event{.event = "run_stalled",
--- a/tests/support/domain_cluster.cpp
+++ b/tests/support/domain_cluster.cpp
@@ -195,6 +195,20 @@
     apply(node, out);
 }
 
+std::optional<std::size_t> domain_cluster::owner_of(domain_id domain) const
+{
+    for (std::size_t node = 0; node < nodes_.size(); ++node)
+    {
+        auto const& state = *nodes_[node];
+        if (state.key.domain == domain && !is_paused(node) &&
+            state.executors.scheduler.owns())
+        {
+            return node;
+        }
+    }
+    return std::nullopt;
+}
+
 std::size_t domain_cluster::index_of(instance_id instance)
 {
     return std::size_t{instance.value()} - 1;
@@ -334,8 +348,7 @@
     if (auto const* const claim = std::get_if<claim_ownership>(&decision))
     {
         ++claims_;
-        scheduler.take_over(claim->token, state.roster_known, now, out,
-                            claim->earlier_owner);
+        scheduler.take_over(claim->token, state.roster_known, now, out);
         state.plan.expedite_all();
     }
     else if (std::holds_alternative<release_ownership>(decision))
--- a/tests/support/domain_cluster.hpp
+++ b/tests/support/domain_cluster.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -74,6 +75,10 @@
     /// @brief Reports a caller that has disconnected.
     /// @pre the instance is not paused
     void disconnect_caller(std::size_t node, core::request_id request);
+    /// @brief Returns an instance of a failure domain that owns its executors
+    /// and is not paused, if any.
+    [[nodiscard]] std::optional<std::size_t>
+    owner_of(core::domain_id domain) const;
     /// @brief Returns the number of changes of ownership so far.
     [[nodiscard]] std::size_t claims() const
     {
--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -139,14 +139,18 @@
 executor_clock executor_fleet::clock(simulated_executor const& target) const
 {
     return executor_clock{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now_ - target.started_at)
+        std::chrono::duration_cast<milliseconds>(
+            detail::scale_duration(now_ - target.started_at,
+                                   target.behaviour.clock_rate))
             .count())};
 }
 
 time_point executor_fleet::to_time(simulated_executor const& target,
                                    executor_clock clock)
 {
-    return target.started_at + milliseconds{clock.value()};
+    return target.started_at +
+           detail::scale_duration(milliseconds{clock.value()},
+                                  1.0 / target.behaviour.clock_rate);
 }
 
 void executor_fleet::schedule(duration delay, std::function<void()> work)
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -19,6 +19,8 @@
 {
     /// Run time divided by the task's true work.
     double slowdown = 1.0;
+    /// Seconds that the executor's clock shows per second.
+    double clock_rate = 1.0;
     bool fails_tasks = false;
     /// Tasks make no progress and never end.
     bool hangs = false;
--- a/tests/support/executor_fleet_orders.cpp
+++ b/tests/support/executor_fleet_orders.cpp
@@ -1,5 +1,7 @@
 #include "support/executor_fleet.hpp"
 
+#include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <memory>
@@ -27,9 +29,11 @@
 void executor_fleet::renew_lease(simulated_executor& target,
                                  executor_clock lease_until)
 {
+    auto const longest = detail::scale_duration(
+        longest_lease, 1.0 / target.behaviour.clock_rate);
     target.lease_until =
         std::max(target.lease_until,
-                 std::min(to_time(target, lease_until), now_ + longest_lease));
+                 std::min(to_time(target, lease_until), now_ + longest));
 }
 
 std::optional<duration> executor_fleet::late_delay(std::optional<duration> set,
--- a/tests/unit/inherited_runs.cpp
+++ b/tests/unit/inherited_runs.cpp
@@ -129,8 +129,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet_.running(job_id));
     }
 
-    // Guards against the same with the successor of a paused owner, which may
-    // keep such runs alive for a time.
+    // Guards against the same with the successor of a paused owner.
     void unclaimed_run_ends_in_time_after_a_silent_owner()
     {
         start_long_run();
@@ -138,10 +137,7 @@
         second_.scheduler.origin_heard(instance_id{1}, fleet_.now());
         fleet_.run_for(milliseconds{550});
         second_.list_all();
-        std::vector<scheduler_action> out;
-        second_.scheduler.take_over(fleet_owner::token_of(second_token), true,
-                                    fleet_.now(), out, instance_id{1});
-        second_.apply(out);
+        second_.take_over(second_token, true);
         fleet_.run_for(milliseconds{300});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet_.running(job_id));
         second_.kill();
