Repeat withdrawals also after a long pause

A gateway that was paused for over 3 s no longer repeated the withdrawals of callers that left meanwhile, as the time of the pause counted towards their lifetime, and after an hour peers would have refused them as malformed. The elapsed time is now limited to the lifetime and counted apart from it; it is logged as elapsed_ms.

Test: withdrawal_after_a_long_pause_is_repeated of unit.job_gateway.

--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -142,8 +142,9 @@
 
     struct open_withdrawal
     {
-        /// Earliest time at which the caller may have left.
         time_point since{};
+        /// Longest time from the leaving of the caller to the first message.
+        duration elapsed{};
         time_point sent_at{};
         /// Number of the first message.
         std::uint64_t sequence = 0;
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -135,6 +135,7 @@
     log_line line{log_level::info, "job_withdrawn"};
     line.text("job", adapter::format_job_id(withdrawal.withdrawal.job))
         .text("owner", format_instance(withdrawal.owner))
+        .number("elapsed_ms", to_ms(withdrawal.withdrawal.elapsed))
         .number("repeats", withdrawal.repeats);
     return line;
 }
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -135,7 +135,9 @@
                            duration elapsed, time_point now,
                            std::vector<gateway_action>& out)
 {
-    withdrawals_[{job, owner}] = {now - elapsed, now, ++last_sequence_};
+    // Callers that left before that may have submitted their jobs again.
+    elapsed = std::clamp(elapsed, duration{}, withdrawal_lifetime);
+    withdrawals_[{job, owner}] = {now, elapsed, now, ++last_sequence_};
     out.emplace_back(send_withdrawal{owner, {job, last_sequence_, elapsed}});
 }
 
@@ -156,7 +158,9 @@
         auto const& [job, owner] = key;
         open.sent_at = now;
         out.emplace_back(send_withdrawal{
-            owner, {job, ++last_sequence_, now - open.since}, ++open.repeats});
+            owner,
+            {job, ++last_sequence_, now - open.since + open.elapsed},
+            ++open.repeats});
     }
 }
 
--- a/tests/failure/test_leased_soak.py
+++ b/tests/failure/test_leased_soak.py
@@ -19,6 +19,12 @@
 
 RUN_S = 5.0
 
+# From this seed on, there are also callers of long runs that leave.
+FIRST_SEED_WITH_LEAVING_CALLERS = 1001
+
+# Time after which a caller that got no answer submits its job again.
+RESUBMISSION_DELAY_S = 1.3
+
 # Seeds that have failed, with the cause of each failure.
 REGRESSION_SEEDS = {
     308: "an executor restarted and accepted a start before its owner learned "
@@ -31,10 +37,16 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--build-dir", required=True)
-    parser.add_argument("--seeds", default="1:2")
+    parser.add_argument("--seeds", default="1:2",
+                        help="first and last seed; with the first ones, those "
+                             "with leaving callers run as well")
     arguments = parser.parse_args()
     first, last = map(int, arguments.seeds.split(":"))
-    for seed in sorted({*REGRESSION_SEEDS, *range(first, last + 1)}):
+    seeds = {*REGRESSION_SEEDS, *range(first, last + 1)}
+    if first == 1:
+        seeds |= {FIRST_SEED_WITH_LEAVING_CALLERS,
+                  FIRST_SEED_WITH_LEAVING_CALLERS + 1}
+    for seed in sorted(seeds):
         run_seed(arguments.build_dir, seed)
 
 
@@ -52,6 +64,10 @@
             threading.Thread(target=self.submit_jobs,
                              args=(number, random.Random(f"{seed}.{number}")))
             for number in range(4)]
+        if seed >= FIRST_SEED_WITH_LEAVING_CALLERS:
+            self.threads.append(threading.Thread(
+                target=self.leave_and_resubmit,
+                args=(random.Random(f"{seed}.leaving"),)))
         for thread in self.threads:
             thread.start()
 
@@ -78,6 +94,33 @@
         for connection in connections.values():
             connection.close()
 
+    def leave_and_resubmit(self, choices):
+        """Submits long jobs, leaves before their answers, and submits them
+        again at other instances."""
+        job_id = 9_000_000
+        while not self.stopping:
+            job_id += 1
+            work_ms = choices.choice([1000, 2000, 3000])
+            waits = [choices.uniform(0, 0.9), 4.0]
+            instances = choices.sample(self.running.instances, len(waits))
+            for instance, wait_s in zip(instances, waits):
+                connection = http.client.HTTPConnection(
+                    instance.callers_address, timeout=wait_s)
+                try:
+                    connection.request(
+                        "POST", f"/desk/{job_id:016x}",
+                        body=json.dumps(instance.job_body(job_id, 1, work_ms)))
+                    status = connection.getresponse().status
+                except (OSError, http.client.HTTPException):
+                    status = None
+                connection.close()
+                # A job that is rejected later may have started before.
+                if status in (429, 503) and instance is instances[0]:
+                    self.rejected.append(job_id)
+                if status is not None or self.stopping:
+                    break
+                time.sleep(RESUBMISSION_DELAY_S)
+
     def stop(self):
         self.stopping = True
         for thread in self.threads:
@@ -105,6 +148,8 @@
 def run_seed(build_dir, seed):
     faults = Faults(random.Random(seed))
     with LeasedSystem(build_dir, instances=3, has_relays=True) as running:
+        if seed >= FIRST_SEED_WITH_LEAVING_CALLERS:
+            running.publish_configuration(2, 6000)
         callers = Callers(running, seed)
         end = time.monotonic() + RUN_S
         while time.monotonic() < end:
--- a/tests/unit/job_gateway.cpp
+++ b/tests/unit/job_gateway.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(verdict_of_an_earlier_owner_is_ignored);
     CPPUNIT_TEST(job_of_a_disconnected_caller_is_withdrawn);
     CPPUNIT_TEST(withdrawal_is_repeated_until_it_is_answered);
+    CPPUNIT_TEST(withdrawal_after_a_long_pause_is_repeated);
     CPPUNIT_TEST(job_that_is_submitted_again_is_not_withdrawn);
     CPPUNIT_TEST(refusal_of_an_earlier_offer_is_ignored);
     CPPUNIT_TEST(answer_to_an_earlier_withdrawal_is_ignored);
@@ -147,6 +148,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, withdrawals_in(milliseconds{500}));
     }
 
+    // Guards against a withdrawal that is not repeated, or is refused as
+    // malformed, because its instance was paused for long.
+    void withdrawal_after_a_long_pause_is_repeated()
+    {
+        submit({owner(1, 11)});
+        gateway_.caller_disconnected(request_id{1}, now_, out_,
+                                     std::chrono::hours{2});
+        CPPUNIT_ASSERT(last<send_withdrawal>().withdrawal.elapsed >=
+                       milliseconds{1300});
+        CPPUNIT_ASSERT(last<send_withdrawal>().withdrawal.elapsed <
+                       std::chrono::minutes{1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, withdrawals_in(milliseconds{250}));
+    }
+
     // Guards against a repeated withdrawal that ends a job that its caller has
     // submitted again.
     void job_that_is_submitted_again_is_not_withdrawn()
