Join repeated pieces of the fixes for absent callers

Behaviour stays as it is.

Tests: the loop over the seeds, which unit.leaving_callers had copied, is play_resubmission_seeds; two tests of unit.absent_callers share withdraw_long_run. Their assertions and seeds are the same.

--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -381,9 +381,8 @@
                      time_point sent_at, scheduler_context& context);
     /// Adds a run that only the executor has listed; it is stopped at the given
     /// time unless its job is offered before.
-    static run_record& add_listed_run(executor_record& executor,
-                                      task_run const& run, time_point now,
-                                      time_point orphan_deadline);
+    static void add_listed_run(executor_record& executor, task_run const& run,
+                               time_point now, time_point orphan_deadline);
     void claim_answered(executor_record& executor, poll_answer const& answer,
                         scheduler_context& context);
     void apply_finished_runs(executor_record& executor,
@@ -455,6 +454,10 @@
     [[nodiscard]] time_point lease_limit(executor_record const& executor,
                                          time_point now) const;
     [[nodiscard]] time_point lease_limit(run_record const& run) const;
+    /// Time before which the last message of an instance was not sent; now if
+    /// it has sent none.
+    [[nodiscard]] time_point last_heard(instance_id instance,
+                                        time_point now) const;
     /// Time until which a lease may keep runs alive whose caller was last known
     /// to wait at a time: they end before the caller may submit the job again.
     [[nodiscard]] time_point
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -267,10 +267,7 @@
     }
     // The runs may still serve a resubmission by the caller, so they continue
     // for some time, but their leases end before it may arrive elsewhere.
-    auto const heard = state_.heard.find(origin);
-    auto const sent_at =
-        heard == state_.heard.end() ? now : std::min(now, heard->second);
-    auto const left_at = sent_at - withdrawal.elapsed;
+    auto const left_at = state_.last_heard(origin, now) - withdrawal.elapsed;
     detail::job_cancellation withdrawn{
         left_at + state_.limits.resubmission_delay / 2,
         state_.lease_limit_without_caller(left_at)};
@@ -287,9 +284,8 @@
 {
     auto const until = now + lost_origin_wait(state_.limits);
     // A new process of the instance does not have the callers.
-    auto const heard = state_.heard.find(origin);
-    auto const lease_limit = state_.lease_limit_without_caller(
-        heard == state_.heard.end() ? now : heard->second);
+    auto const lease_limit =
+        state_.lease_limit_without_caller(state_.last_heard(origin, now));
     for (auto& [id, job] : state_.jobs)
     {
         if (job.origin == origin && !job.cancellation)
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -26,6 +26,10 @@
 /// heartbeats.
 constexpr duration orphan_timeout = std::chrono::milliseconds{400};
 
+/// Time for which an orphan is kept beside runs whose callers wait: their lease
+/// cannot be renewed until it has ended.
+constexpr duration shared_lease_orphan_timeout = std::chrono::milliseconds{150};
+
 } // namespace
 
 void scheduler_state::probe_owner(fencing_token silent_token,
@@ -127,9 +131,9 @@
     context.out.emplace_back(log_event);
 }
 
-run_record& scheduler_state::add_listed_run(executor_record& executor,
-                                            task_run const& run, time_point now,
-                                            time_point orphan_deadline)
+void scheduler_state::add_listed_run(executor_record& executor,
+                                     task_run const& run, time_point now,
+                                     time_point orphan_deadline)
 {
     auto& added = executor.runs.emplace_back();
     added.run = run;
@@ -137,7 +141,6 @@
     added.sent_at = now;
     added.confirmed_at = now;
     added.orphan_deadline = orphan_deadline;
-    return added;
 }
 
 void scheduler_state::claim_answered(executor_record& executor,
@@ -232,4 +235,41 @@
     context.out.emplace_back(log_event);
 }
 
+bool scheduler_state::is_orphaned(executor_record const& executor,
+                                  run_record const& run, time_point now)
+{
+    if (run.phase != run_phase::running || !run.orphan_deadline)
+    {
+        return false;
+    }
+    bool const others_need_lease =
+        std::ranges::any_of(executor.runs,
+                            [](run_record const& other)
+                            {
+                                return !other.orphan_deadline;
+                            });
+    return now >= *run.orphan_deadline ||
+           (others_need_lease &&
+            now >= run.confirmed_at + shared_lease_orphan_timeout);
+}
+
+// A task of which a late run is listed waits for the end of that run; it must
+// not start elsewhere meanwhile.
+void scheduler_state::adopt_or_stop_orphans(executor_record& executor,
+                                            scheduler_context& context)
+{
+    for (auto& run : executor.runs)
+    {
+        auto const job = jobs.find(run.run.task.job);
+        if (job != jobs.end())
+        {
+            adopt_run(job->second, executor, run, context);
+        }
+        if (is_orphaned(executor, run, context.now))
+        {
+            request_stop(executor, run, context);
+        }
+    }
+}
+
 } // namespace goldcrestgate::core::detail
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -32,10 +32,6 @@
 constexpr double clock_drift = 1.04;
 constexpr duration lease_expiry_margin = std::chrono::milliseconds{60};
 
-/// Time for which an orphan is kept beside runs whose callers wait: their lease
-/// cannot be renewed until it has ended.
-constexpr duration shared_lease_orphan_timeout = std::chrono::milliseconds{150};
-
 /// An executor without runs is dropped after it has been unlisted for this
 /// time.
 constexpr duration unlisted_timeout = std::chrono::seconds{5};
@@ -52,6 +48,13 @@
     return scale_duration(lease, clock_drift) + lease_expiry_margin;
 }
 
+time_point scheduler_state::last_heard(instance_id instance,
+                                       time_point now) const
+{
+    auto const found = heard.find(instance);
+    return found == heard.end() ? now : std::min(now, found->second);
+}
+
 time_point
 scheduler_state::lease_limit_without_caller(time_point waiting_at) const
 {
@@ -363,44 +366,6 @@
     adopt_or_stop_orphans(executor, context);
 }
 
-bool scheduler_state::is_orphaned(executor_record const& executor,
-                                  run_record const& run, time_point now)
-{
-    if (!run.orphan_deadline)
-    {
-        return false;
-    }
-    bool const others_need_lease =
-        std::ranges::any_of(executor.runs,
-                            [](run_record const& other)
-                            {
-                                return !other.orphan_deadline;
-                            });
-    return now >= *run.orphan_deadline ||
-           (others_need_lease &&
-            now >= run.confirmed_at + shared_lease_orphan_timeout);
-}
-
-// A task of which a late run is listed waits for the end of that run; it must
-// not start elsewhere meanwhile.
-void scheduler_state::adopt_or_stop_orphans(executor_record& executor,
-                                            scheduler_context& context)
-{
-    for (auto& run : executor.runs)
-    {
-        auto const job = jobs.find(run.run.task.job);
-        if (job != jobs.end())
-        {
-            adopt_run(job->second, executor, run, context);
-        }
-        if (run.phase == run_phase::running &&
-            is_orphaned(executor, run, context.now))
-        {
-            request_stop(executor, run, context);
-        }
-    }
-}
-
 void scheduler_state::check_runs(executor_record& executor,
                                  scheduler_context& context)
 {
@@ -422,8 +387,7 @@
             request_stop(executor, run, context);
         }
         bool const stalled = is_stalled(run);
-        bool const orphaned = run.phase == run_phase::running &&
-                              is_orphaned(executor, run, context.now);
+        bool const orphaned = is_orphaned(executor, run, context.now);
         if (stalled)
         {
             scheduler_log_event log_event{.event = "run_stalled",
--- a/tests/support/resubmission_run.cpp
+++ b/tests/support/resubmission_run.cpp
@@ -266,4 +266,16 @@
     }
 }
 
+void play_resubmission_seeds(resubmission_faults const& faults,
+                             resubmission_load const& load)
+{
+    constexpr std::uint64_t seeds = 20;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        resubmission_run run{seed, faults, load};
+        run.run();
+        run.check();
+    }
+}
+
 } // namespace goldcrestgate::tests
--- a/tests/support/resubmission_run.hpp
+++ b/tests/support/resubmission_run.hpp
@@ -101,4 +101,8 @@
     std::size_t served_ = 0;
 };
 
+/// @brief Plays 20 seeds and checks each run.
+void play_resubmission_seeds(resubmission_faults const& faults,
+                             resubmission_load const& load);
+
 } // namespace goldcrestgate::tests
--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -171,10 +171,7 @@
         owner.start(1);
         start_long_run(owner);
         fleet.run_for(milliseconds{100});
-        std::vector<scheduler_action> out;
-        owner.scheduler.withdraw(instance_id{1}, {client_job_id{7}},
-                                 fleet.now(), out);
-        owner.apply(out);
+        withdraw_long_run(fleet, owner, {});
         fleet.run_for(milliseconds{600});
         pause_and_expect_end(fleet, owner, milliseconds{600});
     }
@@ -188,11 +185,7 @@
         owner.start(1);
         start_long_run(owner);
         fleet.run_for(milliseconds{500});
-        std::vector<scheduler_action> out;
-        owner.scheduler.withdraw(instance_id{1},
-                                 {client_job_id{7}, 0, milliseconds{300}},
-                                 fleet.now(), out);
-        owner.apply(out);
+        withdraw_long_run(fleet, owner, milliseconds{300});
         fleet.run_for(milliseconds{340});
         pause_and_expect_end(fleet, owner, milliseconds{640});
     }
@@ -224,6 +217,16 @@
             milliseconds{4000});
     }
 
+    /// @param elapsed time since the caller has left
+    static void withdraw_long_run(executor_fleet const& fleet,
+                                  fleet_owner& owner, duration elapsed)
+    {
+        std::vector<scheduler_action> out;
+        owner.scheduler.withdraw(instance_id{1}, {client_job_id{7}, 0, elapsed},
+                                 fleet.now(), out);
+        owner.apply(out);
+    }
+
     /// Pauses the owner and checks that the long run ends before its caller
     /// submits the job again.
     /// @param elapsed time since the caller was last known to wait
--- a/tests/unit/leaving_callers.cpp
+++ b/tests/unit/leaving_callers.cpp
@@ -6,9 +6,8 @@
 namespace
 {
 
-using goldcrestgate::tests::resubmission_faults;
+using goldcrestgate::tests::play_resubmission_seeds;
 using goldcrestgate::tests::resubmission_load;
-using goldcrestgate::tests::resubmission_run;
 using std::chrono::milliseconds;
 
 // Guards against two runs of a task at a time: the first run of a job goes on
@@ -30,24 +29,15 @@
                                .longest_work = milliseconds{3000},
                                .caller_wait = milliseconds{6000},
                                .longest_pause = milliseconds{1000}};
-        play({.pauses = true, .leaving_callers = true}, load);
-        play({.pauses = true, .restarts = true, .leaving_callers = true}, load);
-        play({.resets = true, .pauses = true, .leaving_callers = true}, load);
+        play_resubmission_seeds({.pauses = true, .leaving_callers = true},
+                                load);
+        play_resubmission_seeds(
+            {.pauses = true, .restarts = true, .leaving_callers = true}, load);
+        play_resubmission_seeds(
+            {.resets = true, .pauses = true, .leaving_callers = true}, load);
         load.instances_per_domain = 1;
-        play({.pauses = true, .leaving_callers = true}, load);
-    }
-
-private:
-    static void play(resubmission_faults const& faults,
-                     resubmission_load const& load)
-    {
-        constexpr std::uint64_t seeds = 20;
-        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-        {
-            resubmission_run run{seed, faults, load};
-            run.run();
-            run.check();
-        }
+        play_resubmission_seeds({.pauses = true, .leaving_callers = true},
+                                load);
     }
 };
 
--- a/tests/unit/resubmitting_callers.cpp
+++ b/tests/unit/resubmitting_callers.cpp
@@ -6,9 +6,7 @@
 namespace
 {
 
-using goldcrestgate::tests::resubmission_faults;
-using goldcrestgate::tests::resubmission_load;
-using goldcrestgate::tests::resubmission_run;
+using goldcrestgate::tests::play_resubmission_seeds;
 using std::chrono::milliseconds;
 
 // Guards against two runs of a task at a time: the first run of a job goes on
@@ -28,58 +26,53 @@
 public:
     void resets_of_connections()
     {
-        play({.resets = true}, {});
-        play({.resets = true}, {.instances_per_domain = 2});
+        play_resubmission_seeds({.resets = true}, {});
+        play_resubmission_seeds({.resets = true}, {.instances_per_domain = 2});
     }
 
     void pauses_of_instances()
     {
-        play({.pauses = true}, {});
-        play({.pauses = true},
-             {.instances_per_domain = 2, .longest_pause = milliseconds{1200}});
+        play_resubmission_seeds({.pauses = true}, {});
+        play_resubmission_seeds(
+            {.pauses = true},
+            {.instances_per_domain = 2, .longest_pause = milliseconds{1200}});
     }
 
     void pauses_of_all_instances()
     {
-        play({.joint_pauses = true}, {.job_interval = milliseconds{30},
-                                      .longest_work = milliseconds{200},
-                                      .fault_interval = milliseconds{5000},
-                                      .longest_pause = milliseconds{2500}});
-        play({.joint_pauses = true}, {.instances_per_domain = 2,
-                                      .fault_interval = milliseconds{4000},
-                                      .longest_pause = milliseconds{1500}});
+        play_resubmission_seeds({.joint_pauses = true},
+                                {.job_interval = milliseconds{30},
+                                 .longest_work = milliseconds{200},
+                                 .fault_interval = milliseconds{5000},
+                                 .longest_pause = milliseconds{2500}});
+        play_resubmission_seeds({.joint_pauses = true},
+                                {.instances_per_domain = 2,
+                                 .fault_interval = milliseconds{4000},
+                                 .longest_pause = milliseconds{1500}});
     }
 
     void restarts_of_instances()
     {
-        play({.restarts = true}, {.longest_work = milliseconds{1400}});
-        play({.restarts = true}, {.instances_per_domain = 2});
+        play_resubmission_seeds({.restarts = true},
+                                {.longest_work = milliseconds{1400}});
+        play_resubmission_seeds({.restarts = true},
+                                {.instances_per_domain = 2});
     }
 
     void restarts_of_all_instances()
     {
-        play({.joint_restarts = true}, {.fault_interval = milliseconds{6000}});
-        play({.joint_restarts = true},
-             {.instances_per_domain = 2, .fault_interval = milliseconds{6000}});
+        play_resubmission_seeds({.joint_restarts = true},
+                                {.fault_interval = milliseconds{6000}});
+        play_resubmission_seeds(
+            {.joint_restarts = true},
+            {.instances_per_domain = 2, .fault_interval = milliseconds{6000}});
     }
 
     void all_faults_with_two_instances_per_domain()
     {
-        play({.resets = true, .pauses = true, .restarts = true},
-             {.instances_per_domain = 2});
-    }
-
-private:
-    static void play(resubmission_faults const& faults,
-                     resubmission_load const& load)
-    {
-        constexpr std::uint64_t seeds = 20;
-        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-        {
-            resubmission_run run{seed, faults, load};
-            run.run();
-            run.check();
-        }
+        play_resubmission_seeds(
+            {.resets = true, .pauses = true, .restarts = true},
+            {.instances_per_domain = 2});
     }
 };
 
