Send the route and the failure domain of a caller with its job

Cause: an owner could not tell the routes and the callers of its jobs apart, as an offer named only the service; run times by route and fair shares need both. Change: JobOffer has the fields route and origin_domain; they are empty or 0 from an older sender.

--- a/include/goldcrestgate/core/leasing/leased_job.hpp
+++ b/include/goldcrestgate/core/leasing/leased_job.hpp
@@ -82,6 +82,12 @@
 struct leased_job
 {
     client_job_id id;
+    /// The route that the job was submitted to; empty if the sender of the
+    /// offer did not name it.
+    std::string route;
+    /// Failure domain of the instance that has the caller; 0 if the sender of
+    /// the offer did not name it.
+    domain_id origin_domain;
     /// The service whose executors run the tasks.
     std::string service;
     std::string payload;
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -2360,7 +2360,9 @@
     VT_RESUMED = 22,
     VT_ONLY_OFFERED_HERE = 24,
     VT_SEQUENCE = 26,
-    VT_TERM = 28
+    VT_TERM = 28,
+    VT_ROUTE = 30,
+    VT_ORIGIN_DOMAIN = 32
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2401,6 +2403,12 @@
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
   }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  uint16_t origin_domain() const {
+    return GetField<uint16_t>(VT_ORIGIN_DOMAIN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
@@ -2420,6 +2428,9 @@
            VerifyField<uint8_t>(verifier, VT_ONLY_OFFERED_HERE, 1) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint16_t>(verifier, VT_ORIGIN_DOMAIN, 2) &&
            verifier.EndTable();
   }
 };
@@ -2467,6 +2478,12 @@
   void add_term(uint64_t term) {
     fbb_.AddElement<uint64_t>(JobOffer::VT_TERM, term, 0);
   }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(JobOffer::VT_ROUTE, route);
+  }
+  void add_origin_domain(uint16_t origin_domain) {
+    fbb_.AddElement<uint16_t>(JobOffer::VT_ORIGIN_DOMAIN, origin_domain, 0);
+  }
   explicit JobOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2495,7 +2512,9 @@
     bool resumed = false,
     bool only_offered_here = false,
     uint64_t sequence = 0,
-    uint64_t term = 0) {
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint16_t origin_domain = 0) {
   JobOfferBuilder builder_(_fbb);
   builder_.add_term(term);
   builder_.add_sequence(sequence);
@@ -2503,9 +2522,11 @@
   builder_.add_time_limit_us(time_limit_us);
   builder_.add_objective_us(objective_us);
   builder_.add_job(job);
+  builder_.add_route(route);
   builder_.add_groups(groups);
   builder_.add_payload(payload);
   builder_.add_service(service);
+  builder_.add_origin_domain(origin_domain);
   builder_.add_max_attempts(max_attempts);
   builder_.add_only_offered_here(only_offered_here);
   builder_.add_resumed(resumed);
@@ -2532,10 +2553,13 @@
     bool resumed = false,
     bool only_offered_here = false,
     uint64_t sequence = 0,
-    uint64_t term = 0) {
+    uint64_t term = 0,
+    const char *route = nullptr,
+    uint16_t origin_domain = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto payload__ = payload ? _fbb.CreateString(payload) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>(*groups) : 0;
+  auto route__ = route ? _fbb.CreateString(route) : 0;
   return goldcrestgate::wire::detail::CreateJobOffer(
       _fbb,
       job,
@@ -2550,7 +2574,9 @@
       resumed,
       only_offered_here,
       sequence,
-      term);
+      term,
+      route__,
+      origin_domain);
 }
 
 struct JobWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -62,6 +62,7 @@
         return;
     }
     open.job = std::move(job);
+    open.job.origin_domain = own_domain_;
     open.arrived = now;
     open.without_owner_since = now;
     offer_to_owner(open, owners, now, out);
--- a/src/core/leasing/route_table.cpp
+++ b/src/core/leasing/route_table.cpp
@@ -35,6 +35,7 @@
 void apply_route(job_route const& route, std::optional<duration> caller_wait,
                  leased_job& job)
 {
+    job.route = route.name;
     job.service = route.service;
     job.priority = route.priority;
     job.max_attempts = std::max<std::uint16_t>(route.max_attempts, 1);
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -279,6 +279,7 @@
 {
     auto const& [job, elapsed, resumed, only_offered_here, sequence, term] =
         message;
+    auto const route = out.CreateString(job.route);
     auto const service = out.CreateString(job.service);
     auto const payload = out.CreateString(job.payload);
     std::vector<fb::Offset<detail::TaskGroup>> groups;
@@ -293,7 +294,8 @@
                                    group_list, job.max_attempts, job.priority,
                                    job.objective.count(),
                                    job.time_limit.count(), elapsed.count(),
-                                   resumed, only_offered_here, sequence, term)
+                                   resumed, only_offered_here, sequence, term,
+                                   route, job.origin_domain.value())
                 .Union()};
 }
 
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -95,10 +95,13 @@
 
 std::optional<core::peer_message> decode(JobOffer const& source)
 {
-    bool const valid = core::is_utf8(source.service()->string_view()) &&
-                       core::is_utf8(source.payload()->string_view()) &&
-                       source.objective_us() >= 0 &&
-                       source.time_limit_us() >= 0 && source.elapsed_us() >= 0;
+    auto const* const route = source.route();
+    bool const valid =
+        (route == nullptr || core::is_utf8(route->string_view())) &&
+        core::is_utf8(source.service()->string_view()) &&
+        core::is_utf8(source.payload()->string_view()) &&
+        source.objective_us() >= 0 && source.time_limit_us() >= 0 &&
+        source.elapsed_us() >= 0;
     if (!valid)
     {
         return std::nullopt;
@@ -106,6 +109,11 @@
     core::job_offer message;
     auto& job = message.job;
     job.id = core::client_job_id{source.job()};
+    if (route != nullptr)
+    {
+        job.route = route->str();
+    }
+    job.origin_domain = core::domain_id{source.origin_domain()};
     job.service = source.service()->str();
     job.payload = source.payload()->str();
     for (auto const* const group : *source.groups())
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -52,6 +52,8 @@
     second.after = {0};
     core::leased_job job;
     job.id = core::client_job_id{0xfedcba9876543210};
+    job.route = "desk-urgent";
+    job.origin_domain = core::domain_id{2};
     job.service = "desk";
     job.payload = "payload";
     job.groups = {first, second};
