Learn run times by route and choose executors by their quantiles

Cause: placement, order and admission judged each task by its estimate and fixed margins. Long tasks that were underestimated started on slow executors although fast ones were free, were moved several times by the same estimate, and the error of a job's estimate was taken for the speed of its executors, so that tasks waited up to 200 ms for an executor that only seemed faster. Change: run_time_model keeps a bounded histogram of run time over expected run time for each route and magnitude of the estimate. Placement and admission use its quantiles; while fast executors are mostly free, a slow one must end the task with a probability of 0.995. A moved task is placed by the work that its progress has shown. The run times of a job's tasks are divided by their median before they count as speeds.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -28,6 +28,21 @@
     std::optional<executor_id> failed_on;
     /// Executor on which the task last failed or was too slow.
     std::optional<executor_id> avoided;
+    /// Run time on an executor whose run times equal the estimates, known from
+    /// the progress of a run that was stopped; 0 if it is not known.
+    duration known_work{};
+};
+
+/// @brief Run time of a task of a group, or its projection for a run that was
+/// stopped.
+struct run_time_sample
+{
+    executor_id executor;
+    duration run_time{};
+    /// Slowdown that was expected on the executor.
+    double expected_slowdown = 1.0;
+    /// Run-time factor of the executor's rack.
+    double rack_factor = 1.0;
 };
 
 struct group_record
@@ -44,6 +59,8 @@
     /// The group of each entry in an `after` that names this group.
     std::vector<std::uint16_t> following;
     std::vector<task_record> tasks;
+    /// Learned from when the job ends.
+    std::vector<run_time_sample> run_times;
 };
 
 /// @brief Cancellation of a job whose caller no longer waits or whose instance
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestgate/core/leasing/orders.hpp"
 #include "goldcrestgate/core/leasing/owner_probe.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
+#include "goldcrestgate/core/leasing/run_time_model.hpp"
 #include "goldcrestgate/core/leasing/scheduler_actions.hpp"
 #include "goldcrestgate/core/leasing/serving_order.hpp"
 #include "goldcrestgate/core/leasing/speed_model.hpp"
@@ -85,6 +86,8 @@
     std::vector<executor_record const*> with_capacity;
     /// Number of executors that are kept for suspect tasks.
     std::size_t reserved = 0;
+    /// Share of the fast executors' capacity that is free.
+    double fast_free_share = 0.0;
 };
 
 /// @brief State of a @ref job_scheduler, shared by its source files.
@@ -128,6 +131,7 @@
     /// forgotten.
     std::map<leased_task, time_point> done_tasks;
     speed_model speeds;
+    run_time_model run_times;
     crash_ledger crashes;
     std::vector<unsettled_crash> unsettled_crashes;
     /// Tasks that must not start, as a start without an answer may still be
@@ -149,9 +153,12 @@
     /// group, so that it has none soon.
     static void reserve_executor(job_record const& job, std::uint16_t group,
                                  executor_pool& pool);
-    [[nodiscard]] static placement_request
+    [[nodiscard]] placement_request
     make_placement_request(job_record const& job, std::uint16_t group,
-                           executor_pool const& pool, time_point now);
+                           executor_pool const& pool, time_point now) const;
+    /// Adds to the request of a group what is known of one of its tasks.
+    [[nodiscard]] placement_request for_task(placement_request request,
+                                             task_record const& task) const;
     void place_job(job_record& job, executor_pool const& pool,
                    scheduler_context& context);
     void place_group(job_record& job, std::uint16_t group,
@@ -186,6 +193,28 @@
     void reject_unstarted(std::string_view reason, scheduler_context& context);
     [[nodiscard]] std::size_t waiting_tasks() const;
 
+    // run times
+    /// Adds the run time of a task, or its projection, to those of its group.
+    void record_run_time(job_record& job, executor_record const& executor,
+                         task_run const& run, duration run_time) const;
+    /// Learns the speeds of executors and the run times of the route from an
+    /// ended job.
+    void learn_run_times(job_record const& job);
+    void learn_group_run_times(job_record const& job, group_record const& group,
+                               task_group const& group_spec);
+    /// Factors for the tasks of a group.
+    /// @param fast_free_share see @ref executor_pool
+    [[nodiscard]] run_time_factors factors_of(std::string_view route,
+                                              duration estimate,
+                                              double fast_free_share) const;
+    /// Factor below which the run time of a job's critical path stays too
+    /// rarely to start it.
+    [[nodiscard]] double best_case_factor(leased_job const& job,
+                                          duration estimate) const;
+    /// Free share of the capacity of a service's fast executors.
+    [[nodiscard]] double fast_free_share(std::string_view service,
+                                         double fastest, time_point now) const;
+
     // admission; an empty service name selects all services
     [[nodiscard]] admission_verdict evaluate_admission(job_record const& job,
                                                        time_point now) const;
@@ -196,8 +225,9 @@
     [[nodiscard]] double usable_millicores(std::string_view service,
                                            time_point now,
                                            double slowest) const;
-    [[nodiscard]] static serving_position
-    serving_position_of(job_record const& job, time_point now, double slowest);
+    [[nodiscard]] serving_position serving_position_of(job_record const& job,
+                                                       time_point now,
+                                                       double slowest) const;
     [[nodiscard]] duration expected_wait(std::string_view service,
                                          time_point now) const;
     /// Slowdown range by service; services without a usable executor are
@@ -206,9 +236,9 @@
     slowdowns(time_point now) const;
     /// Latest start at which the job meets its objective.
     [[nodiscard]] static time_point latest_start(job_record const& job);
-    [[nodiscard]] static bool job_needs_fast_executor(job_record const& job,
-                                                      time_point now,
-                                                      double slowest);
+    [[nodiscard]] bool job_needs_fast_executor(job_record const& job,
+                                               time_point now,
+                                               double slowest) const;
 
     // runs and orders
     void start(job_record& job, std::uint16_t group, std::uint16_t index,
@@ -434,7 +464,7 @@
     /// based on its progress.
     [[nodiscard]] duration projected_work(executor_record const& executor,
                                           run_record const& run,
-                                          task_group const& group) const;
+                                          job_record const& job) const;
     /// Whether another executor can finish a run's task before the deadline of
     /// its job.
     [[nodiscard]] bool can_finish_elsewhere(executor_record const& executor,
--- a/include/goldcrestgate/core/leasing/placement.hpp
+++ b/include/goldcrestgate/core/leasing/placement.hpp
@@ -40,6 +40,31 @@
     std::uint32_t candidates = 0;
 };
 
+/// Run-time factor that must fit the objective. The objective is itself a
+/// multiple of the estimated run time, so an estimation error affects both; the
+/// factor covers only the spread among the tasks of a job.
+inline constexpr double objective_factor = 1.06;
+
+/// @brief Factors by which a task's run time may differ from the one expected
+/// from its estimate and the executor's speed.
+///
+/// The defaults are the quantiles of a route without observations, whose run
+/// times vary by 40%.
+struct run_time_factors
+{
+    /// An executor on which even this multiple exceeds the time limit is not
+    /// used, since the work would be lost. A start that turns out too slow
+    /// costs little because its progress shows it early.
+    double best_case = 0.65;
+    /// Must fit the objective.
+    double objective = objective_factor;
+    /// Compared with the fixed time limit.
+    double worst_case = 1.8;
+    /// Must fit the time limit on an executor that is preferred over a faster
+    /// one. It exceeds the worst case while fast executors are mostly free.
+    double slow_executor_margin = 1.8;
+};
+
 /// @brief Task to place.
 struct placement_request
 {
@@ -57,35 +82,25 @@
     double fastest_slowdown = 1.0;
     /// Executor on which the task has failed or was too slow.
     std::optional<executor_id> avoided;
+    run_time_factors factors{};
 };
 
-/// Run-time factor that must fit the objective. The objective is itself a
-/// multiple of the estimated run time, so an estimation error affects both; the
-/// factor covers only the spread among the tasks of a job.
-inline constexpr double objective_factor = 1.06;
-
-/// Worst-case run time divided by the estimate, for comparisons with the fixed
-/// time limit: estimates are wrong by 40% and the tasks of a job differ.
-inline constexpr double worst_case_factor = 1.8;
-
-/// Time that a task which may exceed its time limit on the free executors waits
-/// for a faster executor; short tasks on fast executors end within it.
+/// Longest time that a task which may exceed its time limit on the free
+/// executors waits for a faster executor; short tasks on fast executors end
+/// within it. It does not wait longer than the run time that it would save.
 inline constexpr duration fast_executor_wait = std::chrono::milliseconds{200};
 
-/// Best-case run time divided by the estimate. An executor on which even this
-/// run time exceeds the time limit is not used, since the work would be lost. A
-/// start that turns out too slow costs little because its progress shows it
-/// early.
-inline constexpr double best_case_factor = 0.65;
-
 /// @brief Returns whether the slowest executors may exceed a task's time limit.
 /// @param estimate the client's estimate of the run time
 /// @param to_limit time until the caller stops waiting
 /// @param slowest_slowdown the highest slowdown of all executors
+/// @param worst_case see @ref run_time_factors
 /// @par Thread safety
 /// Safe to call from any thread.
-[[nodiscard]] bool needs_fast_executor(duration estimate, duration to_limit,
-                                       double slowest_slowdown);
+[[nodiscard]] bool
+needs_fast_executor(duration estimate, duration to_limit,
+                    double slowest_slowdown,
+                    double worst_case = run_time_factors{}.worst_case);
 
 /// @brief Chooses the executor for a task.
 ///
--- a/include/goldcrestgate/core/leasing/speed_model.hpp
+++ b/include/goldcrestgate/core/leasing/speed_model.hpp
@@ -38,8 +38,11 @@
     void remove(executor_id executor);
 
     /// @brief Adds an observation.
+    /// @param weight weight against an observation that is not affected by the
+    /// error of a client's estimate
     /// @pre @a estimate is positive; otherwise the observation is ignored
-    void observe(executor_id executor, duration estimate, duration actual);
+    void observe(executor_id executor, duration estimate, duration actual,
+                 double weight = 1.0);
 
     /// @brief Adopts another instance's learned speed of an executor if it has
     /// at least as many observations as this model.
@@ -59,7 +62,7 @@
         double value = 1.0;
         double weight = 0.0;
 
-        void add(double sample, double window);
+        void add(double sample, double added_weight, double window);
     };
 
     struct entry
@@ -70,7 +73,7 @@
         /// average; 0 if neither.
         int last_deviation = 0;
 
-        void observe(double sample);
+        void observe(double sample, double weight);
     };
 
     std::unordered_map<executor_id, entry> executors_;
--- a/src/core/leasing/placement.cpp
+++ b/src/core/leasing/placement.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace goldcrestgate::core
@@ -36,10 +37,10 @@
 } // namespace
 
 bool needs_fast_executor(duration estimate, duration to_limit,
-                         double slowest_slowdown)
+                         double slowest_slowdown, double worst_case)
 {
-    return detail::scale_duration(estimate, slowest_slowdown *
-                                                worst_case_factor) > to_limit;
+    return detail::scale_duration(estimate, slowest_slowdown * worst_case) >
+           to_limit;
 }
 
 std::optional<placement_choice>
@@ -50,6 +51,7 @@
     {
         return detail::scale_duration(request.estimate, slowdown * margin);
     };
+    auto const& factors = request.factors;
     placement_candidate const* best = nullptr;
     bool best_meets_objective = false;
     std::uint32_t suitable = 0;
@@ -58,15 +60,16 @@
         if (!request.demand.fits_into(candidate.free) ||
             candidate.starts_left == 0 ||
             candidate.executor == request.avoided ||
-            run_time(candidate.slowdown, best_case_factor) > request.to_limit)
+            run_time(candidate.slowdown, factors.best_case) > request.to_limit)
         {
             continue;
         }
         ++suitable;
         bool const meets_objective_here =
-            run_time(candidate.slowdown, objective_factor) <=
+            run_time(candidate.slowdown, factors.objective) <=
                 request.to_objective &&
-            run_time(candidate.slowdown, worst_case_factor) <= request.to_limit;
+            run_time(candidate.slowdown, factors.slow_executor_margin) <=
+                request.to_limit;
         bool const improves =
             best == nullptr ||
             (meets_objective_here && !best_meets_objective) ||
@@ -83,11 +86,13 @@
         return std::nullopt;
     }
     bool const is_safe =
-        run_time(best->slowdown, worst_case_factor) <= request.to_limit;
+        run_time(best->slowdown, factors.worst_case) <= request.to_limit;
     bool const faster_exists =
         request.fastest_slowdown * (1.0 + 2 * equal_speed_tolerance) <
         best->slowdown;
-    if (!is_safe && faster_exists && request.waited < fast_executor_wait)
+    auto const saved = run_time(best->slowdown - request.fastest_slowdown, 1.0);
+    if (!is_safe && faster_exists &&
+        request.waited < std::min(fast_executor_wait, saved))
     {
         return std::nullopt;
     }
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -59,7 +59,7 @@
 
 serving_position scheduler_state::serving_position_of(job_record const& job,
                                                       time_point now,
-                                                      double slowest)
+                                                      double slowest) const
 {
     return core::serving_position_of(
         {job.due, latest_start(job), job_needs_fast_executor(job, now, slowest),
@@ -111,10 +111,12 @@
 }
 
 bool scheduler_state::job_needs_fast_executor(job_record const& job,
-                                              time_point now, double slowest)
+                                              time_point now,
+                                              double slowest) const
 {
+    auto const factors = factors_of(job.job.route, job.critical_path_time, 0.0);
     return needs_fast_executor(job.critical_path_time, job.deadline - now,
-                               slowest);
+                               slowest, factors.worst_case);
 }
 
 admission_verdict scheduler_state::evaluate_admission(job_record const& job,
@@ -122,18 +124,19 @@
 {
     std::string_view const service = job.job.service;
     auto const range = slowdowns(now)[service];
+    double const best_case = best_case_factor(job.job, job.critical_path_time);
     // Highest slowdown at which an executor may still finish the job in time.
     double const slowest_allowed =
         job.critical_path_time > duration{}
             ? static_cast<double>((job.deadline - now).count()) /
                   (static_cast<double>(job.critical_path_time.count()) *
-                   best_case_factor)
+                   best_case)
             : range.slowest;
     admission_input input;
     input.time_to_objective = job.due - now;
     input.time_to_limit = job.deadline - now;
-    input.fastest_run = scale_duration(job.critical_path_time,
-                                       range.fastest * best_case_factor);
+    input.fastest_run =
+        scale_duration(job.critical_path_time, range.fastest * best_case);
     for (auto const& group : job.job.groups)
     {
         input.own_work += group.task_count * cpu_work(group);
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -38,6 +38,9 @@
 /// s after a lost answer at the earliest, and one more attempt may follow.
 constexpr duration verdict_retention = std::chrono::seconds{4};
 
+/// Weight of a run time whose error of the estimate is not known.
+constexpr double single_sample_weight = 0.25;
+
 /// Minimum retry delay of a caller whose job was rejected.
 constexpr duration rejection_retry_delay = std::chrono::seconds{1};
 
@@ -51,12 +54,13 @@
 
 /// Returns whether a waiting task would miss the deadline even on the fastest
 /// executor at its best-case run time.
-bool cannot_meet_deadline(job_record const& job, double fastest, time_point now)
+bool cannot_meet_deadline(job_record const& job, double fastest,
+                          double best_case, time_point now)
 {
     for (std::size_t i = 0; i < job.groups.size(); ++i)
     {
-        auto const run = scale_duration(job.job.groups[i].estimate,
-                                        fastest * best_case_factor);
+        auto const run =
+            scale_duration(job.job.groups[i].estimate, fastest * best_case);
         if (job.groups[i].waiting > 0 && now + run > job.deadline)
         {
             return true;
@@ -164,7 +168,7 @@
     {
         return;
     }
-    auto const& job = node.mapped();
+    auto& job = node.mapped();
     if (outcome == job_outcome::rejected && job.started())
     {
         outcome = job_outcome::abandoned;
@@ -175,11 +179,17 @@
         {
             if (run.run.task.job == id)
             {
+                if (run.projected_end && !run.orphan_deadline)
+                {
+                    record_run_time(job, executor, run.run,
+                                    *run.projected_end - run.sent_at);
+                }
                 run.orphan_deadline = context.now;
                 request_stop(executor, run, context);
             }
         }
     }
+    learn_run_times(job);
     job_verdict const verdict{id, outcome, retry_after, job.sequence};
     context.out.emplace_back(report_verdict{job.origin, verdict});
     scheduler_log_event log_event{.event = "job_ended", .job = id};
@@ -265,7 +275,6 @@
     {
         executor.health.record_success();
         crashes.forget(run.run.task, context.now);
-        speeds.observe(executor.id, run.estimate, spent);
     }
     auto const found = jobs.find(run.run.task.job);
     if (run.orphan_deadline || found == jobs.end() ||
@@ -277,6 +286,8 @@
         }
         if (end == run_end::done)
         {
+            speeds.observe(executor.id, run.estimate, spent,
+                           single_sample_weight);
             note_done_task(run.run.task, context);
         }
         return;
@@ -284,6 +295,10 @@
     auto& job = found->second;
     auto& group = job.groups[run.run.task.group];
     auto& task = group.tasks[run.run.task.index];
+    if (end == run_end::done && run.estimate > duration{})
+    {
+        record_run_time(job, executor, run.run, spent);
+    }
     if (end == run_end::failed)
     {
         attribute_failure(executor, task, context.now);
@@ -370,9 +385,10 @@
             suspect_unlisted_tasks(job, context);
         }
         double const fastest = ranges[job.job.service].fastest;
-        auto const finish =
-            context.now +
-            scale_duration(job.critical_path_time, fastest * best_case_factor);
+        double const best_case =
+            best_case_factor(job.job, job.critical_path_time);
+        auto const finish = context.now + scale_duration(job.critical_path_time,
+                                                         fastest * best_case);
         if (job.cancellation && job.cancellation->at <= context.now)
         {
             ended.emplace_back(id, "caller_left");
@@ -386,7 +402,7 @@
             ended.emplace_back(id, "objective_missed");
         }
         else if (!job.awaits_claims &&
-                 cannot_meet_deadline(job, fastest, context.now))
+                 cannot_meet_deadline(job, fastest, best_case, context.now))
         {
             ended.emplace_back(id, "cannot_end_in_time");
         }
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -17,6 +17,13 @@
 /// Shortest lease of a start; a shorter one may end before it is renewed.
 constexpr duration min_start_lease = std::chrono::milliseconds{200};
 
+/// Learned speeds are accurate to some percent, and so is a run time that is
+/// projected from progress.
+constexpr run_time_factors known_work_factors{.best_case = 0.9,
+                                              .objective = 1.0,
+                                              .worst_case = 1.15,
+                                              .slow_executor_margin = 1.15};
+
 bool has_waiting(job_record const& job)
 {
     return std::ranges::any_of(job.groups,
@@ -172,6 +179,11 @@
             pool.with_capacity.push_back(&executor);
         }
     }
+    for (auto& [service, pool] : pools)
+    {
+        pool.fast_free_share =
+            fast_free_share(service, pool.speeds.fastest, now);
+    }
     return pools;
 }
 
@@ -217,7 +229,7 @@
 
 placement_request scheduler_state::make_placement_request(
     job_record const& job, std::uint16_t group, executor_pool const& pool,
-    time_point now)
+    time_point now) const
 {
     auto const& group_spec = job.job.groups[group];
     placement_request request;
@@ -227,6 +239,23 @@
     request.to_limit = job.deadline - now;
     request.waited = now - (job.deadline - job.job.time_limit);
     request.fastest_slowdown = pool.speeds.fastest;
+    request.factors =
+        factors_of(job.job.route, group_spec.estimate, pool.fast_free_share);
+    return request;
+}
+
+placement_request scheduler_state::for_task(placement_request request,
+                                            task_record const& task) const
+{
+    if (executors.size() > 1)
+    {
+        request.avoided = task.avoided;
+    }
+    if (task.known_work > duration{})
+    {
+        request.estimate = task.known_work;
+        request.factors = known_work_factors;
+    }
     return request;
 }
 
@@ -248,7 +277,8 @@
                                      scheduler_context& context)
 {
     auto const& tasks = job.groups[group].tasks;
-    auto request = make_placement_request(job, group, pool, context.now);
+    auto const group_request =
+        make_placement_request(job, group, pool, context.now);
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         auto const index = static_cast<std::uint16_t>(i);
@@ -264,9 +294,8 @@
                       {
                           return !executors.at(candidate.executor).runs.empty();
                       });
-        request.avoided =
-            executors.size() > 1 ? tasks[index].avoided : std::nullopt;
-        auto const choice = choose_executor(candidates, request);
+        auto const choice =
+            choose_executor(candidates, for_task(group_request, tasks[index]));
         if (!choice)
         {
             reserve_executor(job, group, pool);
@@ -321,7 +350,8 @@
     {
         return;
     }
-    auto request = make_placement_request(job, group, pool, context.now);
+    auto const group_request =
+        make_placement_request(job, group, pool, context.now);
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         auto const index = static_cast<std::uint16_t>(i);
@@ -331,8 +361,7 @@
         {
             continue;
         }
-        request.avoided =
-            executors.size() > 1 ? tasks[index].avoided : std::nullopt;
+        auto const request = for_task(group_request, tasks[index]);
         auto const choice = choose_executor(candidates, request);
         if (!choice)
         {
--- a/src/core/leasing/scheduler_progress.cpp
+++ b/src/core/leasing/scheduler_progress.cpp
@@ -134,8 +134,9 @@
 // Otherwise its progress gives the best projection.
 duration scheduler_state::projected_work(executor_record const& executor,
                                          run_record const& run,
-                                         task_group const& group) const
+                                         job_record const& job) const
 {
+    auto const& group = job.job.groups[run.run.task.group];
     auto const normalized =
         [&](executor_record const& host, run_record const& seen)
     {
@@ -162,7 +163,9 @@
     auto const usual_limit =
         longest_sibling > duration{}
             ? scale_duration(longest_sibling, sibling_spread_factor)
-            : scale_duration(group.estimate, worst_case_factor);
+            : scale_duration(group.estimate,
+                             factors_of(job.job.route, group.estimate, 1.0)
+                                 .slow_executor_margin);
     return std::min(own, usual_limit);
 }
 
@@ -172,7 +175,7 @@
                                            time_point now) const
 {
     auto const& group = job.job.groups[run.run.task.group];
-    auto const work = projected_work(executor, run, group);
+    auto const work = projected_work(executor, run, job);
     return std::ranges::any_of(
         executors,
         [&](auto const& entry)
@@ -185,7 +188,9 @@
             }
             auto const run_time_there =
                 scale_duration(work, expected_slowdown(other, group));
-            return capacity_available_at(other, run.amounts, now) +
+            // The task starts elsewhere after its run has been stopped.
+            return std::max(capacity_available_at(other, run.amounts, now),
+                            now + limits.stop_time) +
                        run_time_there <
                    job.deadline;
         });
@@ -206,8 +211,10 @@
     log_event.slack = job.deadline - context.now;
     log_event.run_time = total;
     context.out.emplace_back(log_event);
-    speeds.observe(executor.id, run.estimate, total);
-    job.groups[task.group].tasks[task.index].avoided = executor.id;
+    record_run_time(job, executor, run.run, total);
+    auto& record = job.groups[task.group].tasks[task.index];
+    record.avoided = executor.id;
+    record.known_work = projected_work(executor, run, job);
     request_stop(executor, run, context);
 }
 
--- a/src/core/leasing/speed_model.cpp
+++ b/src/core/leasing/speed_model.cpp
@@ -29,13 +29,14 @@
 
 } // namespace
 
-void speed_model::average::add(double sample, double window)
+void speed_model::average::add(double sample, double added_weight,
+                               double window)
 {
-    weight = std::min(weight + 1.0, window);
-    value += (sample - value) / weight;
+    weight = std::min(weight + added_weight, window);
+    value += (sample - value) * added_weight / weight;
 }
 
-void speed_model::entry::observe(double sample)
+void speed_model::entry::observe(double sample, double weight)
 {
     int const deviation = sample > own.value * change_factor   ? 1
                           : sample * change_factor < own.value ? -1
@@ -45,7 +46,7 @@
         own = {};
     }
     last_deviation = deviation;
-    own.add(sample, executor_window);
+    own.add(sample, weight, executor_window);
 }
 
 void speed_model::add(executor_id executor, std::string_view kind)
@@ -59,7 +60,7 @@
 }
 
 void speed_model::observe(executor_id executor, duration estimate,
-                          duration actual)
+                          duration actual, double weight)
 {
     auto const found = executors_.find(executor);
     if (found == executors_.end() || estimate <= duration{0})
@@ -69,9 +70,9 @@
     double const sample = std::clamp(static_cast<double>(actual.count()) /
                                          static_cast<double>(estimate.count()),
                                      min_sample, max_sample);
-    found->second.observe(sample);
-    kinds_[found->second.kind].add(sample, kind_window);
-    overall_.add(sample, overall_window);
+    found->second.observe(sample, weight);
+    kinds_[found->second.kind].add(sample, weight, kind_window);
+    overall_.add(sample, weight, overall_window);
 }
 
 bool speed_model::adopt(executor_id executor, learned_speed const& learned)
