Report learned run times to successors and the other owners

Cause: a successor of an owner started with the assumed run times, and the owners of the failure domains learned the same routes separately. Change: ExecutorSpeeds carries the distributions that have grown by a fifth, at most 64 a message; a receiver adopts one with more than twice its own observations. Older senders have none.

--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/core/leasing/evacuations.hpp"
 #include "goldcrestgate/core/leasing/executor.hpp"
 #include "goldcrestgate/core/leasing/leased_job.hpp"
+#include "goldcrestgate/core/leasing/run_time_model.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -129,10 +130,12 @@
     double samples = 0.0;
 };
 
-/// @brief Changed speeds, sent to possible successors of an owner.
+/// @brief Changed speeds and run times, sent to possible successors of an
+/// owner. Owners of other failure domains get the run times only.
 struct executor_speeds
 {
     std::vector<executor_speed> executors;
+    std::vector<learned_run_times> run_times;
 };
 
 /// @brief Executors that an owner uses, sent to possible successors.
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -196,6 +196,26 @@
         return state_.speeds.adopt(executor, learned);
     }
 
+    /// @brief Returns the run times that were learned since they were last
+    /// returned; see @ref run_time_model::take_changes.
+    [[nodiscard]] std::vector<learned_run_times> take_run_time_changes()
+    {
+        return state_.run_times.take_changes();
+    }
+
+    /// @brief Makes the next @ref take_run_time_changes return all run times.
+    void repeat_run_times()
+    {
+        state_.run_times.repeat_all();
+    }
+
+    /// @brief Adopts the run times of a route that another owner has learned,
+    /// if it has more observations; see @ref run_time_model::adopt.
+    bool adopt_run_times(learned_run_times const& learned)
+    {
+        return state_.run_times.adopt(learned);
+    }
+
 private:
     detail::scheduler_state state_;
 };
--- a/include/goldcrestgate/core/leasing/run_time_model.hpp
+++ b/include/goldcrestgate/core/leasing/run_time_model.hpp
@@ -52,6 +52,9 @@
     /// forgotten for a further one.
     static constexpr std::size_t max_routes = 256;
 
+    /// Largest number of distributions in a report.
+    static constexpr std::size_t max_reported = 64;
+
     /// @brief Adds an observation.
     /// @param estimate estimated run time of the task
     /// @param ratio run time divided by the run time expected on the executor
@@ -70,8 +73,9 @@
     [[nodiscard]] double quantile(std::string_view route, duration estimate,
                                   double probability) const;
 
-    /// @brief Returns the distributions that were observed since the last call,
-    /// for successors and the owners of other failure domains.
+    /// @brief Returns the distributions that have grown by a fifth since they
+    /// were last returned, at most @ref max_reported of them, for successors
+    /// and the owners of other failure domains.
     [[nodiscard]] std::vector<learned_run_times> take_changes();
 
     /// @brief Makes the next @ref take_changes return all distributions.
@@ -86,7 +90,8 @@
     struct distribution
     {
         run_time_histogram weights{};
-        bool changed = false;
+        /// Total weight when it was last reported.
+        double reported = 0.0;
     };
 
     struct route_entry
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -110,6 +110,9 @@
 struct ExecutorSpeed;
 struct ExecutorSpeedBuilder;
 
+struct RouteRunTimes;
+struct RouteRunTimesBuilder;
+
 struct ExecutorSpeeds;
 struct ExecutorSpeedsBuilder;
 
@@ -3293,20 +3296,112 @@
       samples);
 }
 
+struct RouteRunTimes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RouteRunTimesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_MAGNITUDE = 6,
+    VT_WEIGHTS = 8
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  uint8_t magnitude() const {
+    return GetField<uint8_t>(VT_MAGNITUDE, 0);
+  }
+  const flatbuffers::Vector<float> *weights() const {
+    return GetPointer<const flatbuffers::Vector<float> *>(VT_WEIGHTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint8_t>(verifier, VT_MAGNITUDE, 1) &&
+           VerifyOffsetRequired(verifier, VT_WEIGHTS) &&
+           verifier.VerifyVector(weights()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RouteRunTimesBuilder {
+  typedef RouteRunTimes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(RouteRunTimes::VT_ROUTE, route);
+  }
+  void add_magnitude(uint8_t magnitude) {
+    fbb_.AddElement<uint8_t>(RouteRunTimes::VT_MAGNITUDE, magnitude, 0);
+  }
+  void add_weights(flatbuffers::Offset<flatbuffers::Vector<float>> weights) {
+    fbb_.AddOffset(RouteRunTimes::VT_WEIGHTS, weights);
+  }
+  explicit RouteRunTimesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RouteRunTimes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RouteRunTimes>(end);
+    fbb_.Required(o, RouteRunTimes::VT_ROUTE);
+    fbb_.Required(o, RouteRunTimes::VT_WEIGHTS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RouteRunTimes> CreateRouteRunTimes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint8_t magnitude = 0,
+    flatbuffers::Offset<flatbuffers::Vector<float>> weights = 0) {
+  RouteRunTimesBuilder builder_(_fbb);
+  builder_.add_weights(weights);
+  builder_.add_route(route);
+  builder_.add_magnitude(magnitude);
+  return builder_.Finish();
+}
+
+struct RouteRunTimes::Traits {
+  using type = RouteRunTimes;
+  static auto constexpr Create = CreateRouteRunTimes;
+};
+
+inline flatbuffers::Offset<RouteRunTimes> CreateRouteRunTimesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    uint8_t magnitude = 0,
+    const std::vector<float> *weights = nullptr) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto weights__ = weights ? _fbb.CreateVector<float>(*weights) : 0;
+  return goldcrestgate::wire::detail::CreateRouteRunTimes(
+      _fbb,
+      route__,
+      magnitude,
+      weights__);
+}
+
 struct ExecutorSpeeds FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ExecutorSpeedsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_EXECUTORS = 4
+    VT_EXECUTORS = 4,
+    VT_RUN_TIMES = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>> *executors() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>> *>(VT_EXECUTORS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::RouteRunTimes>> *run_times() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::RouteRunTimes>> *>(VT_RUN_TIMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_EXECUTORS) &&
            verifier.VerifyVector(executors()) &&
            verifier.VerifyVectorOfTables(executors()) &&
+           VerifyOffset(verifier, VT_RUN_TIMES) &&
+           verifier.VerifyVector(run_times()) &&
+           verifier.VerifyVectorOfTables(run_times()) &&
            verifier.EndTable();
   }
 };
@@ -3318,6 +3413,9 @@
   void add_executors(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>>> executors) {
     fbb_.AddOffset(ExecutorSpeeds::VT_EXECUTORS, executors);
   }
+  void add_run_times(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::RouteRunTimes>>> run_times) {
+    fbb_.AddOffset(ExecutorSpeeds::VT_RUN_TIMES, run_times);
+  }
   explicit ExecutorSpeedsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3332,8 +3430,10 @@
 
 inline flatbuffers::Offset<ExecutorSpeeds> CreateExecutorSpeeds(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>>> executors = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>>> executors = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::RouteRunTimes>>> run_times = 0) {
   ExecutorSpeedsBuilder builder_(_fbb);
+  builder_.add_run_times(run_times);
   builder_.add_executors(executors);
   return builder_.Finish();
 }
@@ -3345,11 +3445,14 @@
 
 inline flatbuffers::Offset<ExecutorSpeeds> CreateExecutorSpeedsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>> *executors = nullptr) {
+    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>> *executors = nullptr,
+    const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::RouteRunTimes>> *run_times = nullptr) {
   auto executors__ = executors ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::ExecutorSpeed>>(*executors) : 0;
+  auto run_times__ = run_times ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::RouteRunTimes>>(*run_times) : 0;
   return goldcrestgate::wire::detail::CreateExecutorSpeeds(
       _fbb,
-      executors__);
+      executors__,
+      run_times__);
 }
 
 struct ExecutorRoster FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -138,6 +138,7 @@
         if (!informed)
         {
             speed_report_.repeat_all();
+            scheduler_.repeat_run_times();
         }
     }
     informed_successors_ = successors;
@@ -177,13 +178,26 @@
         report.executors.push_back({std::string{executor_orders_.name(id)},
                                     learned.slowdown, learned.samples});
     }
-    if (report.executors.empty())
+    report.run_times = scheduler_.take_run_time_changes();
+    if (!report.executors.empty() || !report.run_times.empty())
+    {
+        for (auto const successor : informed_successors_)
+        {
+            send(successor, report);
+        }
+    }
+    if (report.run_times.empty())
     {
         return;
     }
-    for (auto const successor : informed_successors_)
+    // The routes are those of all failure domains, the executors are not.
+    report.executors.clear();
+    for (auto const& owner : ownership_.owners(now))
     {
-        send(successor, report);
+        if (owner.domain != self_.domain)
+        {
+            send(owner.instance, report);
+        }
     }
 }
 
@@ -202,11 +216,18 @@
             ++adopted;
         }
     }
+    auto const run_times_adopted =
+        std::ranges::count_if(report.run_times,
+                              [this](core::learned_run_times const& learned)
+                              {
+                                  return scheduler_.adopt_run_times(learned);
+                              });
     log_.write(log_line{log_level::info, "speeds_adopted"}
                    .text("owner", format_instance(owner))
                    .number("reported",
                            static_cast<std::int64_t>(report.executors.size()))
-                   .number("adopted", adopted));
+                   .number("adopted", adopted)
+                   .number("run_times_adopted", run_times_adopted));
 }
 
 void entry_instance::on_peer_event(core::event&& event)
--- a/src/core/leasing/run_time_model.cpp
+++ b/src/core/leasing/run_time_model.cpp
@@ -27,6 +27,10 @@
 /// About a minute of a route with 10 jobs a second.
 constexpr double max_weight = 600.0;
 
+/// Growth from which on a distribution is reported again. A successor decides
+/// alike with a fifth of the observations less.
+constexpr double reported_growth = 1.2;
+
 constexpr std::uint8_t max_magnitude = 24;
 
 std::uint8_t magnitude_of(duration estimate)
@@ -111,16 +115,16 @@
     }
     auto& entry = entry_of(route);
     entry.last_observed = ++observations_;
-    auto& [weights, changed] = entry.distributions[magnitude_of(estimate)];
+    auto& [weights, reported] = entry.distributions[magnitude_of(estimate)];
     if (total_weight(weights) > max_weight)
     {
         for (auto& bucket_weight : weights)
         {
             bucket_weight /= 2;
         }
+        reported /= 2;
     }
     weights.at(bucket_of(ratio)) += static_cast<float>(weight);
-    changed = true;
 }
 
 double run_time_model::quantile(std::string_view route, duration estimate,
@@ -157,8 +161,11 @@
     {
         for (auto& [magnitude, known] : entry.distributions)
         {
-            if (std::exchange(known.changed, false))
+            double const total = total_weight(known.weights);
+            if (changes.size() < max_reported &&
+                total > known.reported * reported_growth)
             {
+                known.reported = total;
                 changes.push_back({route, magnitude, known.weights});
             }
         }
@@ -172,7 +179,7 @@
     {
         for (auto& [magnitude, known] : entry.distributions)
         {
-            known.changed = true;
+            known.reported = 0.0;
         }
     }
 }
@@ -206,8 +213,10 @@
     {
         return false;
     }
-    entry_of(learned.route).distributions[learned.magnitude].weights =
-        learned.weights;
+    // Owners that report to each other would otherwise repeat what they have
+    // adopted.
+    entry_of(learned.route).distributions[learned.magnitude] = {learned.weights,
+                                                                reported};
     return true;
 }
 
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -384,8 +384,18 @@
             out, out.CreateString(name), slowdown, samples));
     }
     auto const list = out.CreateVector(executors);
+    std::vector<fb::Offset<detail::RouteRunTimes>> run_times;
+    run_times.reserve(message.run_times.size());
+    for (auto const& [route, magnitude, weights] : message.run_times)
+    {
+        auto const weight_list =
+            out.CreateVector(weights.data(), weights.size());
+        run_times.push_back(detail::CreateRouteRunTimes(
+            out, out.CreateString(route), magnitude, weight_list));
+    }
+    auto const run_time_list = out.CreateVector(run_times);
     return {detail::Message::ExecutorSpeeds,
-            detail::CreateExecutorSpeeds(out, list).Union()};
+            detail::CreateExecutorSpeeds(out, list, run_time_list).Union()};
 }
 
 fb::Offset<detail::ExecutorDescription>
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/core/submission/answer.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace goldcrestgate::wire::detail
@@ -77,6 +78,32 @@
     return tasks;
 }
 
+/// Reads the run times that have the expected number of buckets; an older
+/// sender has none.
+std::vector<core::learned_run_times>
+decode_run_times(ExecutorSpeeds const& source)
+{
+    std::vector<core::learned_run_times> run_times;
+    auto const* const entries = source.run_times();
+    if (entries == nullptr ||
+        entries->size() > core::run_time_model::max_reported)
+    {
+        return run_times;
+    }
+    for (auto const* const entry : *entries)
+    {
+        if (entry->weights()->size() == core::run_time_buckets &&
+            core::is_utf8(entry->route()->string_view()))
+        {
+            auto& learned = run_times.emplace_back();
+            learned.route = entry->route()->str();
+            learned.magnitude = entry->magnitude();
+            std::ranges::copy(*entry->weights(), learned.weights.begin());
+        }
+    }
+    return run_times;
+}
+
 template <typename Message>
 core::evacuations decode_evacuations(Message const& source)
 {
@@ -216,6 +243,7 @@
         message.executors.push_back(
             {entry->name()->str(), entry->slowdown(), entry->samples()});
     }
+    message.run_times = decode_run_times(source);
     return message;
 }
 
