Add failure tests with requests of untrusted clients

Clients that send many large requests at once, or keep connections open, made a process run out of memory or descriptors. The tests start an entry instance with lowered limits under 200 clients and check its memory, its descriptors and one normal request.

--- a/tests/failure/harness/leased.py
+++ b/tests/failure/harness/leased.py
@@ -14,6 +14,7 @@
 import random
 import shutil
 import struct
+import subprocess
 import tempfile
 import threading
 import time
@@ -314,6 +315,9 @@
         self.metrics_address = f"{self.ip}:{free_port(self.ip)}"
         self.process = None
         self.starts = 0
+        # Sections of settings and environment variables to add at a start.
+        self.extra_settings = {}
+        self.environment = {}
         self.relay = Relay(system.store.address) if system.has_relays else None
 
     def start(self):
@@ -327,15 +331,32 @@
                        "peers_address": self.peers_address,
                        "metrics_address": self.metrics_address},
             "platform": {"store_address": self.store_address()}}
+        for section, values in self.known_settings().items():
+            settings.setdefault(section, {}).update(values)
         path = os.path.join(self.system.folder, self.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         self.process = Process(
             f"{self.name}-{self.starts}",
-            [os.path.join(self.system.build_dir, "programs",
-                          "goldcrestgate_entryd"), "--settings", path],
+            [self.program(), "--settings", path],
             os.path.join(self.system.folder,
-                         f"{self.name}-{self.starts}.log"))
+                         f"{self.name}-{self.starts}.log"),
+            self.environment)
+
+    def program(self):
+        return os.path.join(self.system.build_dir, "programs",
+                            "goldcrestgate_entryd")
+
+    def known_settings(self):
+        """The extra settings that the tested build knows."""
+        if not self.extra_settings:
+            return {}
+        described = subprocess.run(
+            [self.program(), "--describe-settings"], check=True,
+            capture_output=True, text=True).stdout
+        return {section: {key: value for key, value in values.items()
+                          if f"`{section}.{key}`" in described}
+                for section, values in self.extra_settings.items()}
 
     def store_address(self):
         return (self.relay or self.system.store).address
@@ -354,8 +375,9 @@
                 return float(line.split()[1])
         return None
 
-    def job_body(self, job_id, tasks, work_ms):
-        payload = json.dumps({"work_ms": work_ms, "job": job_id})
+    def job_body(self, job_id, tasks, work_ms, padding_bytes=0):
+        payload = json.dumps({"work_ms": work_ms, "job": job_id,
+                              "padding": "x" * padding_bytes})
         self.system.record_submission(job_id, payload)
         return {"task_spec": payload, "best_effort": True,
                 "phases": [{"count": tasks, "cpu": 27000, "mem_mb": 64,
--- a/tests/failure/harness/processes.py
+++ b/tests/failure/harness/processes.py
@@ -57,13 +57,16 @@
 class Process:
     """Child process with its output in a file."""
 
-    def __init__(self, name, arguments, log_path):
+    def __init__(self, name, arguments, log_path, environment=None):
+        """`environment` has variables to set in addition to those of the
+        test."""
         self.name = name
         self.log_path = log_path
         self._log = open(log_path, "wb")
         self._child = subprocess.Popen(
             arguments, stdout=self._log, stderr=subprocess.STDOUT,
-            stdin=subprocess.DEVNULL)
+            stdin=subprocess.DEVNULL,
+            env={**os.environ, **(environment or {})})
 
     @property
     def pid(self):
@@ -91,6 +94,18 @@
         """Returns the exit code."""
         return self._child.wait(timeout=limit_s)
 
+    def memory_bytes(self):
+        """Returns the resident memory."""
+        with open(f"/proc/{self.pid}/status", encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) * 1024
+        raise RuntimeError(f"{self.name} has no resident memory")
+
+    def descriptors(self):
+        """Returns the number of open descriptors."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
     def check_running(self):
         """Raises RuntimeError with the output if the process has ended."""
         if not self.running():
