Limit the requests and connections of untrusted callers

Bodies that stopped before their end, endless headers and idle connections kept memory and descriptors without a bound, and at the connection limit normal callers were not served. The server for callers now counts the bytes of each read, closes the connection that has been incomplete longest when the budget is exhausted, closes late and slow senders, and makes room for new connections at the limit. A connection uses one descriptor.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestgate/app/entry/entry_settings.hpp"
 #include "goldcrestgate/app/entry/executor_directory.hpp"
 #include "goldcrestgate/app/entry/executor_orders.hpp"
+#include "goldcrestgate/app/entry/request_removals.hpp"
 #include "goldcrestgate/app/entry/topic_watch.hpp"
 #include "goldcrestgate/core/events.hpp"
 #include "goldcrestgate/core/leasing/configuration_exchange.hpp"
@@ -166,6 +167,7 @@
     core::job_scheduler scheduler_;
 
     io::http_server caller_server_;
+    request_removals request_removals_;
     io::http_server readiness_server_;
     io::http_server metrics_server_;
     io::peer_network peer_network_;
--- a/include/goldcrestgate/app/entry/entry_metrics.hpp
+++ b/include/goldcrestgate/app/entry/entry_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestgate/app/entry/request_removals.hpp"
 #include "goldcrestgate/core/leasing/job_gateway.hpp"
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
@@ -21,6 +22,9 @@
     /// never confirmed.
     std::optional<core::duration> configuration_age;
     std::size_t caller_connections = 0;
+    /// Bytes of caller requests that are not answered.
+    std::size_t open_request_bytes = 0;
+    removal_counts request_removals{};
     std::size_t peer_connections = 0;
     std::size_t open_jobs = 0;
     std::uint64_t store_calls = 0;
--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -26,6 +26,8 @@
     /// Processor cores of the instance; the largest instance of a failure
     /// domain is preferred as the owner of its executors.
     double cpu_share = 0;
+    /// Memory of the process; 0 means that of the machine.
+    std::uint64_t memory_mb = 0;
 
     // addresses, `IP:port`
     std::string callers_address;
@@ -48,6 +50,9 @@
     core::duration resubmission_delay{};
     std::uint64_t body_limit_bytes = 0;
     std::uint32_t caller_connection_limit = 0;
+    std::uint64_t open_request_budget_bytes = 0;
+    core::duration request_timeout{};
+    std::uint32_t least_body_rate_bytes_per_s = 0;
     core::duration stop_grace{};
 
     // logs
--- a/include/goldcrestgate/io/detail/http_connection.hpp
+++ b/include/goldcrestgate/io/detail/http_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/io/detail/hangup_monitor.hpp"
 #include "goldcrestgate/io/detail/lingering_sockets.hpp"
+#include "goldcrestgate/io/detail/request_limiter.hpp"
 #include "goldcrestgate/io/event_loop.hpp"
 #include "goldcrestgate/io/http_server.hpp"
 
@@ -49,6 +50,10 @@
     hangup_monitor monitor;
     lingering_sockets lingering;
     http_server::error_body error_body;
+    /// Null without limits for untrusted callers.
+    std::unique_ptr<request_limiter> limiter;
+    /// Set once the server closes connections after their responses.
+    bool closing = false;
     std::unordered_set<http_connection*> connections;
     /// Called after a connection has been closed.
     std::function<void()> on_connection_closed;
@@ -65,9 +70,29 @@
     [[nodiscard]] bool has_request() const;
     /// Whether the remote side has closed the connection or its sending side.
     [[nodiscard]] bool hung_up() const;
-    void begin_request(std::shared_ptr<pending_reply> const& pending);
+    /// Starts to apply the server's limits, once h2o has accepted the socket.
+    void limit_input();
+    /// Null without limits.
+    [[nodiscard]] limited_input* input() const
+    {
+        return input_.get();
+    }
+
+    /// @return whether the request may be handled
+    [[nodiscard]] bool
+    begin_request(std::shared_ptr<pending_reply> const& pending);
+    void begin_response(bool is_persistent);
     void end_request();
 
+    /// Duplicates the descriptor, so that the request can still be answered
+    /// after h2o has closed its own.
+    void keep_descriptor();
+    /// Sets the status of the response to a request that is never completed.
+    void set_removal_status(std::uint16_t status)
+    {
+        removal_status_ = status;
+    }
+
     static void on_closed(void* data);
 
 private:
@@ -76,12 +101,14 @@
 
     connection_group& group_;
     st_h2o_socket_t* socket_;
-    /// A duplicate of the socket's descriptor. It stays open when h2o closes
-    /// its own, so that an incomplete request can still be answered.
-    int descriptor_;
+    /// The duplicate, or -1. With limits, it is made only for a connection that
+    /// is about to be closed, so that others use one descriptor.
+    int descriptor_ = -1;
+    std::uint16_t removal_status_ = 0;
     std::size_t bytes_read_ = 0;
     std::size_t bytes_written_ = 0;
     std::weak_ptr<pending_reply> pending_;
+    std::unique_ptr<limited_input> input_;
 };
 
 /// @brief Returns the reason phrase of a status.
--- a/include/goldcrestgate/io/detail/lingering_sockets.hpp
+++ b/include/goldcrestgate/io/detail/lingering_sockets.hpp
@@ -2,6 +2,9 @@
 
 #include "goldcrestgate/io/event_loop.hpp"
 
+#include <cstddef>
+#include <limits>
+#include <list>
 #include <memory>
 #include <unordered_map>
 
@@ -33,12 +36,22 @@
     /// side has closed or the timeout has expired.
     void close(int descriptor);
 
+    /// @brief Sets how many descriptors may linger; the one that has lingered
+    /// longest is closed for another.
+    void set_limit(std::size_t limit)
+    {
+        limit_ = limit;
+    }
+
 private:
     static void on_readable(st_h2o_socket_t* socket, char const* failure);
     void finish(st_h2o_socket_t* socket);
 
     event_loop& loop_;
+    std::size_t limit_ = std::numeric_limits<std::size_t>::max();
     std::unordered_map<st_h2o_socket_t*, std::unique_ptr<timer>> sockets_;
+    /// The sockets, oldest first.
+    std::list<st_h2o_socket_t*> order_;
 };
 
 } // namespace goldcrestgate::io::detail
--- a/include/goldcrestgate/io/event_loop.hpp
+++ b/include/goldcrestgate/io/event_loop.hpp
@@ -60,6 +60,11 @@
     /// the h2o callback that is running has returned.
     void post(std::function<void()> work);
 
+    /// @brief Calls a function at the end of each iteration, after all socket
+    /// events and timers, until it is destroyed. It must not write to sockets
+    /// or close them.
+    void at_iteration_end(std::weak_ptr<std::function<void()>> work);
+
     /// Receives an exception that a callback has thrown.
     using fault_sink = std::function<void(std::exception const&)>;
 
@@ -99,6 +104,7 @@
     core::time_point previous_turn_{};
     std::set<std::pair<core::time_point, timer*>> timers_;
     std::vector<std::function<void()>> posted_;
+    std::vector<std::weak_ptr<std::function<void()>>> iteration_end_;
     fault_sink report_fault_;
     core::duration stall_limit_ = core::duration::max();
     stall_sink report_stall_;
--- a/include/goldcrestgate/io/http_server.hpp
+++ b/include/goldcrestgate/io/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestgate/core/admission/request_budget.hpp"
 #include "goldcrestgate/core/result.hpp"
 #include "goldcrestgate/io/address.hpp"
 #include "goldcrestgate/io/event_loop.hpp"
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace goldcrestgate::io
@@ -60,7 +62,14 @@
     /// of persistent connections.
     core::duration request_timeout = std::chrono::seconds{10};
     /// Maximum number of open connections; further ones wait to be accepted.
+    /// With @ref limits, the one that has been idle or incomplete longest is
+    /// closed instead.
     std::size_t max_connections = 10'000;
+    /// Limits for untrusted callers. Their times replace @ref request_timeout.
+    std::optional<core::request_limits> limits = std::nullopt;
+    /// Receive buffer of a connection in the kernel, which doubles the value;
+    /// 0 leaves the system's default.
+    int receive_buffer_bytes = 0;
 };
 
 /// @brief Serves HTTP/1.1 on a listening socket.
@@ -110,6 +119,18 @@
     /// @brief Returns the number of open connections.
     [[nodiscard]] std::size_t connection_count() const;
 
+    /// Receives the reason for which @ref http_server_options::limits closed a
+    /// connection or rejected a request.
+    using removal_sink = std::function<void(core::removal_reason)>;
+
+    /// @brief Sets the function that is told of removals; without limits it is
+    /// not called.
+    void on_removal(removal_sink report);
+
+    /// @brief Returns the bytes of requests without a complete response; 0
+    /// without limits.
+    [[nodiscard]] std::size_t open_request_bytes() const;
+
 private:
     std::unique_ptr<detail::http_server_state> state_;
 };
--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -104,6 +104,9 @@
                 configuration_exchange_.age(loop_.now());
             instance_stats.caller_connections =
                 caller_server_.connection_count();
+            instance_stats.open_request_bytes =
+                caller_server_.open_request_bytes();
+            instance_stats.request_removals = request_removals_.totals();
             instance_stats.peer_connections = peer_network_.connected_peers();
             instance_stats.open_jobs = gateway_.open_jobs();
             instance_stats.store_calls = store_.calls();
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -112,10 +112,8 @@
     , gateway_(self_.domain, self_.incarnation.value())
     , scheduler_({settings.longest_lease, settings.stop_time,
                   settings.resubmission_delay, settings.remote_rack_factor})
-    , caller_server_(loop,
-                     {.max_body_bytes = settings.body_limit_bytes,
-                      .request_timeout = std::chrono::seconds{15},
-                      .max_connections = settings.caller_connection_limit})
+    , caller_server_(loop, caller_server_options(settings, read_resources()))
+    , request_removals_(loop, caller_server_, log)
     , readiness_server_(loop, {})
     , metrics_server_(loop, {})
     , peer_network_(
--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -153,6 +153,9 @@
     }
     detail::add_value(out, "gauge", "caller_connections",
                       instance_stats.caller_connections);
+    detail::add_value(out, "gauge", "open_request_bytes",
+                      instance_stats.open_request_bytes);
+    append_removals(out, instance_stats.request_removals);
     detail::add_value(out, "gauge", "peer_connections",
                       instance_stats.peer_connections);
     detail::add_value(out, "gauge", "open_jobs", instance_stats.open_jobs);
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -36,6 +36,10 @@
       "Processor cores of the instance; the largest instance of a failure "
       "domain is preferred as the owner of its executors."},
      &settings::cpu_share},
+    {{"instance.memory_mb", integer_rule{0, 16 * mebibyte, 0},
+      "Memory of the process; 0 means that of the machine. Given by the "
+      "platform."},
+     &settings::memory_mb},
     {{"listen.callers_address", required_address,
       "Address of the HTTP listener for callers."},
      &settings::callers_address},
@@ -79,9 +83,24 @@
       "Largest request body of a caller."},
      &settings::body_limit_bytes},
     {{"callers.connection_limit", integer_rule{16, 1'000'000, 2'000},
-      "Maximum number of open caller connections; further ones wait to be "
-      "accepted."},
+      "Maximum number of open caller connections; for a further one, the one "
+      "that has been idle or incomplete longest is closed. The descriptor "
+      "limit of the process may allow fewer."},
      &settings::caller_connection_limit},
+    {{"callers.open_request_budget_bytes",
+      integer_rule{0, 1024 * 1024 * mebibyte, 0},
+      "Memory for caller requests that are received and not yet answered; 0 "
+      "means a quarter of the memory. At least one request of the largest size "
+      "always fits."},
+     &settings::open_request_budget_bytes},
+    {{"callers.request_timeout_ms",
+      integer_rule{100, 10 * minute_ms, 15 * second_ms},
+      "Time from the first byte of a request until it is complete."},
+     &settings::request_timeout},
+    {{"callers.least_body_rate_bytes_per_s", integer_rule{0, mebibyte, 4'096},
+      "Least rate of a request body, measured every 2 s from 2 s after its "
+      "first byte; the connection of a slower sender is closed."},
+     &settings::least_body_rate_bytes_per_s},
     {{"callers.stop_grace_ms", integer_rule{100, 10 * minute_ms, 6 * second_ms},
       "Time from the stop signal until the process is killed; given by the "
       "platform."},
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -152,6 +152,13 @@
     auto const wait_ms =
         std::chrono::ceil<std::chrono::milliseconds>(wait_limit(max_wait));
     h2o_evloop_run(loop_, static_cast<std::int32_t>(wait_ms.count()));
+    for (auto const& work : iteration_end_)
+    {
+        if (auto const alive = work.lock())
+        {
+            (*alive)();
+        }
+    }
 }
 
 void event_loop::stop()
@@ -164,6 +171,11 @@
     posted_.push_back(std::move(work));
 }
 
+void event_loop::at_iteration_end(std::weak_ptr<std::function<void()>> work)
+{
+    iteration_end_.push_back(std::move(work));
+}
+
 core::duration event_loop::wait_limit(core::duration max_wait) const
 {
     if (!posted_.empty())
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -38,6 +38,8 @@
         return "Payload Too Large";
     case 422:
         return "Unprocessable Entity";
+    case 431:
+        return "Request Header Fields Too Large";
     case 429:
         return "Too Many Requests";
     case 503:
@@ -68,10 +70,13 @@
 http_connection::http_connection(connection_group& group, h2o_socket_t* socket)
     : group_(group)
     , socket_(socket)
-    , descriptor_(fcntl(h2o_socket_get_fd(socket), F_DUPFD_CLOEXEC, 0))
 {
     group_.connections.insert(this);
-    group_.monitor.watch(descriptor_, *this);
+    group_.monitor.watch(h2o_socket_get_fd(socket), *this);
+    if (group_.limiter == nullptr)
+    {
+        keep_descriptor();
+    }
     socket_->on_close.cb = &http_connection::on_closed;
     socket_->on_close.data = this;
 }
@@ -79,8 +84,36 @@
 http_connection::~http_connection()
 {
     group_.connections.erase(this);
-    group_.monitor.unwatch(descriptor_);
-    close_descriptor();
+    // The kernel has stopped watching a descriptor without a duplicate when
+    // h2o closed it.
+    if (descriptor_ != -1)
+    {
+        group_.monitor.unwatch(descriptor_);
+        close_descriptor();
+    }
+}
+
+void http_connection::limit_input()
+{
+    if (group_.limiter != nullptr)
+    {
+        input_ =
+            std::make_unique<limited_input>(*group_.limiter, *this, socket_);
+    }
+}
+
+void http_connection::keep_descriptor()
+{
+    int const original = h2o_socket_get_fd(socket_);
+    int const duplicate =
+        descriptor_ == -1 ? fcntl(original, F_DUPFD_CLOEXEC, 0) : -1;
+    if (duplicate != -1)
+    {
+        // The registration of the original would outlast its descriptor.
+        group_.monitor.unwatch(original);
+        group_.monitor.watch(duplicate, *this);
+        descriptor_ = duplicate;
+    }
 }
 
 void http_connection::on_hangup()
@@ -99,21 +132,42 @@
 
 bool http_connection::hung_up() const
 {
-    pollfd state{descriptor_, POLLRDHUP, 0};
+    int const descriptor =
+        descriptor_ == -1 ? h2o_socket_get_fd(socket_) : descriptor_;
+    pollfd state{descriptor, POLLRDHUP, 0};
     return poll(&state, 1, 0) == 1;
 }
 
-void http_connection::begin_request(
+bool http_connection::begin_request(
     std::shared_ptr<pending_reply> const& pending)
 {
     bytes_read_ = socket_->bytes_read;
     pending_ = pending;
+    return input_ == nullptr || input_->complete();
+}
+
+void http_connection::begin_response(bool is_persistent)
+{
+    if (input_ == nullptr)
+    {
+        return;
+    }
+    input_->answer();
+    // The caller may still be sending when h2o closes the connection.
+    if (!is_persistent || group_.closing)
+    {
+        keep_descriptor();
+    }
 }
 
 void http_connection::end_request()
 {
     bytes_written_ = socket_->bytes_written;
     pending_.reset();
+    if (input_ != nullptr)
+    {
+        input_->end();
+    }
 }
 
 void http_connection::on_closed(void* data)
@@ -128,6 +182,7 @@
 {
     bool const closed_by_caller = hung_up();
     bool const incomplete =
+        removal_status_ != 0 ||
         received_bytes(descriptor_, closed_by_caller) > bytes_read_;
     if (incomplete)
     {
@@ -145,14 +200,18 @@
 // because the caller is too slow or has closed its sending side.
 void http_connection::answer_incomplete_request(bool hung_up) const
 {
-    if (socket_->bytes_written > bytes_written_)
+    // `100 Continue` may have been written for a request that is removed.
+    if (removal_status_ == 0 && socket_->bytes_written > bytes_written_)
     {
         return;
     }
-    std::uint16_t const status = hung_up ? 400 : 408;
+    std::uint16_t const incomplete_status = hung_up ? 400 : 408;
+    auto const status =
+        removal_status_ == 0 ? incomplete_status : removal_status_;
     std::string const body = group_.make_error_body(status);
     std::string const response =
         "HTTP/1.1 " + std::to_string(status) + " " + reason_phrase(status) +
+        (status == 503 ? "\r\nretry-after: 1" : "") +
         "\r\nconnection: close\r\ncontent-type: application/json"
         "\r\ncontent-length: " +
         std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -8,6 +8,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -66,6 +68,7 @@
 
     route_entry const* find_route(http_request const& request) const;
     void accept_pending();
+    bool make_room();
     void resume_accepting();
     void stop_listening();
 
@@ -83,6 +86,7 @@
     h2o_socket_t* listener = nullptr;
     std::uint16_t port = 0;
     std::size_t max_connections;
+    int receive_buffer_bytes;
     std::vector<route_entry> routes;
     connection_group group;
 };
@@ -139,10 +143,17 @@
                           pooled_value.len);
 }
 
+http_connection& connection_of(h2o_req_t const& request)
+{
+    auto* const socket = request.conn->callbacks->get_socket(request.conn);
+    return *static_cast<http_connection*>(socket->on_close.data);
+}
+
 void send_response(h2o_req_t& request, http_response const& response,
                    std::string_view body_text)
 {
     static h2o_generator_t generator = {nullptr, nullptr};
+    connection_of(request).begin_response(request.http1_is_persistent != 0);
     request.res.status = response.status;
     request.res.reason = reason_phrase(response.status);
     request.res.content_length = body_text.size();
@@ -156,12 +167,6 @@
     h2o_send(&request, &body, 1, H2O_SEND_STATE_FINAL);
 }
 
-http_connection& connection_of(h2o_req_t const& request)
-{
-    auto* const socket = request.conn->callbacks->get_socket(request.conn);
-    return *static_cast<http_connection*>(socket->on_close.data);
-}
-
 void answer_abandoned_request(pending_reply& pending)
 {
     auto* const request = std::exchange(pending.request, nullptr);
@@ -177,15 +182,20 @@
                                      http_server_options options)
     : loop(event_loop)
     , max_connections(options.max_connections)
+    , receive_buffer_bytes(options.receive_buffer_bytes)
     , group(event_loop)
 {
     h2o_config_init(&config);
     config.server_name = to_iovec("goldcrestgate");
     config.max_request_entity_size = options.max_body_bytes;
     config.http1.upgrade_to_http2 = 0;
+    // With limits, their checks come first.
+    auto const timeout = options.limits ? options.limits->idle_timeout +
+                                              options.limits->request_timeout +
+                                              std::chrono::seconds{5}
+                                        : options.request_timeout;
     config.http1.req_timeout = static_cast<std::uint64_t>(
-        std::chrono::ceil<std::chrono::milliseconds>(options.request_timeout)
-            .count());
+        std::chrono::ceil<std::chrono::milliseconds>(timeout).count());
     auto* const host =
         h2o_config_register_host(&config, to_iovec("default"), 65535);
     auto* const path = h2o_config_register_path(host, "/", 0);
@@ -202,6 +212,17 @@
     {
         resume_accepting();
     };
+    if (options.limits)
+    {
+        group.limiter =
+            std::make_unique<request_limiter>(loop, *options.limits,
+                                              [this]
+                                              {
+                                                  resume_accepting();
+                                              });
+        group.lingering.set_limit(
+            std::max<std::size_t>(max_connections / 16, 4));
+    }
 }
 
 http_server_state::~http_server_state()
@@ -224,8 +245,10 @@
                                     h2o_ostream_t** slot)
 {
     auto const& server = *reinterpret_cast<error_filter*>(self)->server;
-    if (request->res.status >= 400 && !connection_of(*request).has_request())
+    auto& connection = connection_of(*request);
+    if (request->res.status >= 400 && !connection.has_request())
     {
+        connection.begin_response(false);
         auto const text = server.group.make_error_body(
             static_cast<std::uint16_t>(request->res.status));
         auto* const stream = reinterpret_cast<error_body_stream*>(
@@ -264,7 +287,7 @@
     auto& connection = connection_of(*source);
     auto const pending = std::make_shared<pending_reply>();
     pending->request = source;
-    connection.begin_request(pending);
+    bool const is_admitted = connection.begin_request(pending);
 
     // The pool destroys the guard when the request ends, also when its
     // connection is closed.
@@ -287,6 +310,15 @@
                                        {
                                            answer_abandoned_request(*pending);
                                        }}};
+    if (!is_admitted)
+    {
+        source->http1_is_persistent = 0;
+        reply.send({503,
+                    server.group.make_error_body(503),
+                    "application/json",
+                    {{"retry-after", "1"}}});
+        return 0;
+    }
     if (route == nullptr)
     {
         reply.send(
@@ -316,7 +348,7 @@
     constexpr int max_accepts_per_call = 64;
     for (int i = 0; i < max_accepts_per_call; ++i)
     {
-        if (group.connections.size() >= max_connections)
+        if (group.connections.size() >= max_connections && !make_room())
         {
             h2o_socket_read_stop(listener);
             return;
@@ -324,14 +356,27 @@
         auto* const socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr)
         {
+            // Without a free descriptor, the listener stays readable and the
+            // loop would spin.
+            if ((errno == EMFILE || errno == ENFILE) &&
+                group.limiter != nullptr && !make_room())
+            {
+                h2o_socket_read_stop(listener);
+            }
             return;
         }
         // Owned by the socket, whose on_close callback deletes it.
-        new http_connection(group, socket);
+        auto* const connection = new http_connection(group, socket);
         h2o_accept(&accept_context, socket);
+        connection->limit_input();
     }
 }
 
+bool http_server_state::make_room()
+{
+    return group.limiter != nullptr && group.limiter->make_room();
+}
+
 void http_server_state::resume_accepting()
 {
     if (listener != nullptr && !h2o_socket_is_reading(listener))
@@ -406,6 +451,13 @@
 core::result<void> http_server::listen(socket_address const& address)
 {
     BOOST_LEAF_AUTO(descriptor, open_listener(address));
+    if (state_->receive_buffer_bytes > 0)
+    {
+        // Accepted sockets inherit it.
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF,
+                   &state_->receive_buffer_bytes,
+                   sizeof state_->receive_buffer_bytes);
+    }
     sockaddr_storage bound{};
     socklen_t size = sizeof bound;
     getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
@@ -431,6 +483,7 @@
 void http_server::close_gracefully()
 {
     state_->stop_listening();
+    state_->group.closing = true;
     h2o_context_request_shutdown(&state_->context);
 }
 
@@ -439,4 +492,18 @@
     return state_->group.connections.size();
 }
 
+void http_server::on_removal(removal_sink report)
+{
+    if (state_->group.limiter != nullptr)
+    {
+        state_->group.limiter->on_removal = std::move(report);
+    }
+}
+
+std::size_t http_server::open_request_bytes() const
+{
+    auto const& limiter = state_->group.limiter;
+    return limiter == nullptr ? 0 : limiter->open_bytes();
+}
+
 } // namespace goldcrestgate::io
--- a/src/io/lingering_sockets.cpp
+++ b/src/io/lingering_sockets.cpp
@@ -31,6 +31,10 @@
 
 void lingering_sockets::close(int descriptor)
 {
+    if (sockets_.size() >= limit_)
+    {
+        finish(order_.front());
+    }
     shutdown(descriptor, SHUT_WR);
     auto* const socket =
         h2o_evloop_socket_create(loop_.native(), descriptor, 0);
@@ -42,12 +46,14 @@
                                                 });
     linger_timer->start_after(linger_timeout);
     sockets_.emplace(socket, std::move(linger_timer));
+    order_.push_back(socket);
     h2o_socket_read_start(socket, &lingering_sockets::on_readable);
 }
 
 void lingering_sockets::on_readable(st_h2o_socket_t* socket,
                                     char const* failure)
 {
+    // Consuming all of a buffer frees it.
     h2o_buffer_consume(&socket->input, socket->input->size);
     if (failure != nullptr)
     {
@@ -58,6 +64,7 @@
 void lingering_sockets::finish(st_h2o_socket_t* socket)
 {
     sockets_.erase(socket);
+    order_.remove(socket);
     h2o_socket_close(socket);
 }
 
