Number the connections of the request limiter

clang-tidy rejects the conversion of an id to a pointer, which the limiter used to find the connection of a removal. It now looks up numbers in a map, which changes only when a connection opens or closes.

unit.request_limits passes three times in a row with address and undefined-behaviour sanitizers (10 tests, compiled alone, leak detection off because h2o's configuration is never freed).

--- a/include/goldcrestgate/io/detail/request_limiter.hpp
+++ b/include/goldcrestgate/io/detail/request_limiter.hpp
@@ -4,9 +4,10 @@
 #include "goldcrestgate/io/event_loop.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 struct st_h2o_socket_t;
@@ -54,7 +55,8 @@
 
     event_loop& loop_;
     core::request_budget budget_;
-    std::unordered_set<limited_input*> inputs_;
+    std::uint64_t last_id_ = 0;
+    std::unordered_map<std::uint64_t, limited_input*> inputs_;
     /// Connections on which h2o may have set its own read callback again.
     std::vector<limited_input*> unsettled_;
     std::shared_ptr<std::function<void()>> settle_;
--- a/src/io/request_limiter.cpp
+++ b/src/io/request_limiter.cpp
@@ -7,7 +7,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cstdint>
 #include <string_view>
 #include <utility>
 
@@ -20,16 +19,6 @@
 /// Times of requests are exact to this interval.
 constexpr core::duration check_interval = std::chrono::milliseconds{250};
 
-std::uint64_t to_id(limited_input const* input)
-{
-    return reinterpret_cast<std::uintptr_t>(input);
-}
-
-limited_input* to_input(std::uint64_t id)
-{
-    return reinterpret_cast<limited_input*>(static_cast<std::uintptr_t>(id));
-}
-
 std::uint16_t status_of(core::removal_reason reason)
 {
     switch (reason)
@@ -72,7 +61,7 @@
 bool request_limiter::make_room()
 {
     auto const waiting = budget_.longest_waiting(loop_.now());
-    return waiting && to_input(waiting->connection)->remove(waiting->reason);
+    return waiting && inputs_.at(waiting->connection)->remove(waiting->reason);
 }
 
 void request_limiter::enforce()
@@ -120,10 +109,10 @@
 {
     for (auto const& [connection, reason] : removed)
     {
-        auto* const input = to_input(connection);
-        if (inputs_.contains(input))
+        auto const found = inputs_.find(connection);
+        if (found != inputs_.end())
         {
-            input->remove(reason);
+            found->second->remove(reason);
         }
     }
 }
@@ -142,16 +131,16 @@
     : limiter_(limiter)
     , connection_(connection)
     , socket_(socket)
-    , state_(limiter.budget_.open(to_id(this), limiter.loop_.now()))
+    , state_(limiter.budget_.open(++limiter.last_id_, limiter.loop_.now()))
 {
-    limiter_.inputs_.insert(this);
+    limiter_.inputs_.emplace(state_->id, this);
     settle();
 }
 
 limited_input::~limited_input()
 {
+    limiter_.inputs_.erase(state_->id);
     limiter_.budget_.close(state_);
-    limiter_.inputs_.erase(this);
     if (unsettled_)
     {
         std::erase(limiter_.unsettled_, this);
