Spread the retry delays of rejected callers over the drain of the backlog

Cause: an owner told nearly all callers of a burst to retry after 1 s, so they came back in the same second. Change: retry_delay() starts when the waiting work of the job's priority and of higher ones has drained, and not before a resubmission could be admitted, and spreads the jobs by their ids over 16 drain times, between 1 s and 30 s. admission_verdict has the time for which a rejection holds. Result: unit.retry_delay passes (6 tests).

--- a/include/goldcrestgate/core/leasing/admission.hpp
+++ b/include/goldcrestgate/core/leasing/admission.hpp
@@ -34,6 +34,9 @@
     bool admitted = false;
     /// When not admitted: time after which the caller may retry.
     duration retry_after{};
+    /// When not admitted: longest time for which the same job would be rejected
+    /// if no other work arrived.
+    duration rejected_for{};
     /// Expected wait for the waiting work and the job's own work.
     duration expected_wait{};
 };
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -200,6 +200,11 @@
     serving_position_of(job_record const& job, time_point now, double slowest);
     [[nodiscard]] duration expected_wait(std::string_view service,
                                          time_point now) const;
+    /// Retry delay of the caller of a rejected job.
+    /// @param rejected_for time for which a resubmission would be rejected
+    [[nodiscard]] duration retry_after(job_record const& job,
+                                       duration rejected_for,
+                                       time_point now) const;
     /// Slowdown range by service; services without a usable executor are
     /// missing.
     [[nodiscard]] std::map<std::string_view, slowdown_range>
--- a/src/core/leasing/admission.cpp
+++ b/src/core/leasing/admission.cpp
@@ -34,6 +34,9 @@
     verdict.admitted =
         finish <= input.time_to_limit &&
         (input.can_start_now || finish <= input.time_to_objective);
+    verdict.rejected_for =
+        std::max(duration{}, finish - std::min(input.time_to_objective,
+                                               input.time_to_limit));
     verdict.retry_after = std::max(min_retry_after, verdict.expected_wait);
     return verdict;
 }
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/admission/retry_delay.hpp"
 #include "goldcrestgate/core/leasing/detail/group_order.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
@@ -38,9 +39,6 @@
 /// s after a lost answer at the earliest, and one more attempt may follow.
 constexpr duration verdict_retention = std::chrono::seconds{4};
 
-/// Minimum retry delay of a caller whose job was rejected.
-constexpr duration rejection_retry_delay = std::chrono::seconds{1};
-
 /// Returns whether a verdict holds for a later submission of its job. A job
 /// that failed may be completed with more attempts.
 bool holds_for(retained_verdict const& ended, leased_job const& submitted)
@@ -142,14 +140,15 @@
     }
     if (suspended && !stored.started())
     {
-        end_job(id, job_outcome::rejected, rejection_retry_delay, "evacuated",
-                context);
+        end_job(id, job_outcome::rejected, retry_delay({.job = id}),
+                "evacuated", context);
         return;
     }
     if (!verdict.admitted && !stored.started())
     {
-        end_job(id, job_outcome::rejected, verdict.retry_after, "overloaded",
-                context);
+        end_job(id, job_outcome::rejected,
+                retry_after(stored, verdict.rejected_for, context.now),
+                "overloaded", context);
     }
 }
 
@@ -336,7 +335,7 @@
     }
     for (auto const id : unstarted)
     {
-        end_job(id, job_outcome::rejected, rejection_retry_delay, reason,
+        end_job(id, job_outcome::rejected, retry_delay({.job = id}), reason,
                 context);
     }
 }
@@ -393,9 +392,7 @@
     }
     for (auto const& [id, reason] : ended)
     {
-        auto const wait = std::max<duration>(
-            rejection_retry_delay,
-            expected_wait(jobs.at(id).job.service, context.now));
+        auto const wait = retry_after(jobs.at(id), {}, context.now);
         end_job(id, job_outcome::rejected, wait, reason, context);
     }
 }
