Count offers against the reported capacity of other failure domains

Cause: all gateways of a domain offered their jobs to the owner with the lowest reported wait, so a good report attracted a whole burst until the next one, and jobs were rejected while another domain had capacity. Change: domain_capacity keeps the last report of each domain and the offers since then, drops reports older than 500 ms, chooses among domains by a hash of the instance and the job, and offers a rejected job in one other domain at most. Result: unit.domain_overflow passes (7 tests).

--- a/include/goldcrestgate/core/leasing/domain_ownership.hpp
+++ b/include/goldcrestgate/core/leasing/domain_ownership.hpp
@@ -22,6 +22,8 @@
     std::uint64_t term = 0;
     std::uint32_t free_millicores = 0;
     duration expected_wait{};
+    /// Time since the owner reported its load; 0 for this instance.
+    duration report_age{};
 };
 
 /// @brief Take ownership of the executors of this instance's failure domain.
--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestgate/core/leasing/domain_capacity.hpp"
 #include "goldcrestgate/core/leasing/domain_ownership.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 
@@ -21,6 +22,9 @@
 {
     instance_id owner;
     job_offer offer;
+    /// Why this owner was chosen, as in @ref owner_choice; `successor` or
+    /// `reconnected` if the job stays in its failure domain.
+    std::string_view reason;
 };
 
 /// @brief Notify an owner that the caller has disconnected.
@@ -54,7 +58,9 @@
 /// owners of executors.
 ///
 /// A job is offered to the owner in this instance's failure domain unless the
-/// expected wait is shorter in another one. An offer binds the job to the
+/// expected wait is shorter in another one, see @ref domain_capacity. A job
+/// that an owner has rejected is offered in one other failure domain at most.
+/// An offer binds the job to the
 /// failure domain, as only the owner of the executors there can learn of its
 /// runs. The job leaves the failure domain only after a verdict by which
 /// nothing of it has started and nothing of it will. After the loss of an
@@ -74,12 +80,23 @@
     /// @param own_domain failure domain of this instance
     /// @param first_sequence offers and withdrawals get numbers above this one,
     /// which must be above those of an earlier process
-    explicit job_gateway(domain_id own_domain, std::uint64_t first_sequence = 0)
+    /// @param self this instance; gateways with different ids choose different
+    /// domains for their jobs
+    explicit job_gateway(domain_id own_domain, std::uint64_t first_sequence = 0,
+                         instance_id self = {})
         : own_domain_(own_domain)
+        , capacity_(own_domain, self)
         , last_sequence_(first_sequence)
     {
     }
 
+    /// @brief Sets the number of instances in the failure domain of this one,
+    /// this one included.
+    void set_domain_instances(std::uint32_t count)
+    {
+        capacity_.set_gateways(count);
+    }
+
     /// @brief Accepts a job from a caller.
     void submit(request_id request, leased_job job,
                 std::span<owner_view const> owners, time_point now,
@@ -135,7 +152,13 @@
         bool moved = false;
         /// Whether the owner has answered that its term has ended.
         bool refused = false;
+        /// Failure domains whose owners have rejected the job.
         std::vector<domain_id> declined;
+        /// The only failure domain to which the job is offered after a
+        /// rejection.
+        std::optional<domain_id> second_domain;
+        /// Shortest retry delay of the rejections.
+        duration retry_after{};
         /// Number of the last offer.
         std::uint64_t sequence = 0;
     };
@@ -157,14 +180,19 @@
     static void owner_refused(open_job& open, time_point now);
     void update_owner(open_job& open, std::span<owner_view const> owners,
                       time_point now, std::vector<gateway_action>& out);
-    [[nodiscard]] std::optional<owner_view>
-    choose_owner(open_job const& open,
-                 std::span<owner_view const> owners) const;
+    [[nodiscard]] std::optional<owner_choice>
+    choose_owner(open_job const& open, std::span<owner_view const> owners,
+                 time_point now);
+    /// Offers a rejected job in one other failure domain, or answers it.
+    void owner_rejected(open_job& open, job_verdict const& received,
+                        std::span<owner_view const> owners, time_point now,
+                        std::vector<gateway_action>& out);
     void answer(client_job_id job, job_outcome outcome, duration retry_after,
                 std::string_view reason, time_point now,
                 std::vector<gateway_action>& out);
     /// Offers a job to its owner.
-    void send_offer_to(open_job& open, bool only_offered_here, time_point now,
+    void send_offer_to(open_job& open, bool only_offered_here,
+                       std::string_view reason, time_point now,
                        std::vector<gateway_action>& out);
     /// @param elapsed longest time since the caller has left
     void withdraw(instance_id owner, client_job_id job, duration elapsed,
@@ -172,6 +200,7 @@
     void repeat_withdrawals(time_point now, std::vector<gateway_action>& out);
 
     domain_id own_domain_;
+    domain_capacity capacity_;
     std::unordered_map<client_job_id, open_job> jobs_;
     /// Withdrawals that their owners have not answered.
     std::map<std::pair<client_job_id, instance_id>, open_withdrawal>
--- a/src/core/leasing/domain_ownership_views.cpp
+++ b/src/core/leasing/domain_ownership_views.cpp
@@ -108,7 +108,7 @@
     std::map<domain_id, owner_view> best;
     if (term_ != 0)
     {
-        best[self_.domain] = {self_.domain, self_.instance, term_, 0, {}};
+        best[self_.domain] = {self_.domain, self_.instance, term_, 0, {}, {}};
     }
     for (auto const& [id, peer] : peers_)
     {
@@ -119,8 +119,9 @@
         auto& view = best[peer.key.domain];
         if (peer.last.term > view.term)
         {
-            view = {peer.key.domain, id, peer.last.term,
-                    peer.last.free_millicores, peer.last.expected_wait};
+            view = {peer.key.domain,         id,
+                    peer.last.term,          peer.last.free_millicores,
+                    peer.last.expected_wait, now - peer.last_heartbeat_at};
         }
     }
     std::vector<owner_view> views;
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestgate/core/leasing/job_gateway.hpp"
 
+#include "goldcrestgate/core/admission/retry_delay.hpp"
+
 #include <algorithm>
 
 namespace goldcrestgate::core
@@ -8,10 +10,6 @@
 namespace
 {
 
-/// A job is offered to another failure domain if the wait there is shorter by
-/// more than this; the round trip takes a few milliseconds.
-constexpr duration overflow_margin = std::chrono::milliseconds{10};
-
 /// Time for which a job that may have started waits for a successor of its
 /// owner; a successor takes over within 500 ms of a loss.
 constexpr duration owner_wait = std::chrono::milliseconds{600};
@@ -27,26 +25,6 @@
 /// instance for so long has cancelled the job.
 constexpr duration withdrawal_lifetime = std::chrono::seconds{3};
 
-/// Retry delay of a caller when no owner is known.
-constexpr duration no_owner_retry = std::chrono::seconds{1};
-
-std::uint64_t max_group_demand(leased_job const& job)
-{
-    std::uint64_t largest = 0;
-    for (auto const& group : job.groups)
-    {
-        largest = std::max<std::uint64_t>(largest,
-                                          std::uint64_t{group.task_count} *
-                                              group.each_task.cpu_millicores);
-    }
-    return largest;
-}
-
-bool contains(std::span<domain_id const> domains, domain_id domain)
-{
-    return std::ranges::find(domains, domain) != domains.end();
-}
-
 } // namespace
 
 void job_gateway::submit(request_id request, leased_job job,
@@ -68,40 +46,21 @@
     offer_to_owner(open, owners, now, out);
 }
 
-std::optional<owner_view>
+std::optional<owner_choice>
 job_gateway::choose_owner(open_job const& open,
-                          std::span<owner_view const> owners) const
+                          std::span<owner_view const> owners, time_point now)
 {
-    auto const demand = max_group_demand(open.job);
-    owner_view const* best = nullptr;
-    for (auto const& owner : owners)
+    if (!open.second_domain)
     {
-        if (contains(open.declined, owner.domain))
-        {
-            continue;
-        }
-        if (best == nullptr)
-        {
-            best = &owner;
-            continue;
-        }
-        bool const is_own = owner.domain == own_domain_;
-        bool const best_is_own = best->domain == own_domain_;
-        auto const cost = [&](owner_view const& view, bool own)
-        {
-            auto const capacity_penalty =
-                view.free_millicores < demand
-                    ? duration{std::chrono::milliseconds{5}}
-                    : duration{};
-            return view.expected_wait + capacity_penalty +
-                   (own ? duration{} : overflow_margin);
-        };
-        if (cost(owner, is_own) < cost(*best, best_is_own))
-        {
-            best = &owner;
-        }
+        return capacity_.choose(open.job, owners, open.declined, now);
     }
-    return best == nullptr ? std::nullopt : std::optional{*best};
+    // The second owner was lost or has refused the offer: the job waits for its
+    // successor.
+    auto const found =
+        std::ranges::find(owners, *open.second_domain, &owner_view::domain);
+    return found == owners.end()
+               ? std::nullopt
+               : std::optional{owner_choice{*found, "second_offer"}};
 }
 
 void job_gateway::offer_to_owner(open_job& open,
@@ -109,27 +68,29 @@
                                  time_point now,
                                  std::vector<gateway_action>& out)
 {
-    auto const chosen = choose_owner(open, owners);
+    auto const chosen = choose_owner(open, owners, now);
     if (!chosen)
     {
         return;
     }
-    open.owner = chosen;
+    open.owner = chosen->owner;
     open.without_owner_since.reset();
-    send_offer_to(open, false, now, out);
+    send_offer_to(open, false, chosen->reason, now, out);
 }
 
 void job_gateway::send_offer_to(open_job& open, bool only_offered_here,
-                                time_point now,
+                                std::string_view reason, time_point now,
                                 std::vector<gateway_action>& out)
 {
     auto const owner = open.owner->instance;
     withdrawals_.erase({open.job.id, owner});
     open.sequence = ++last_sequence_;
+    capacity_.offered(open.owner->domain, open.job, now);
     out.emplace_back(
         send_offer{owner,
                    {open.job, now - open.arrived, open.resumed,
-                    only_offered_here, open.sequence, open.owner->term}});
+                    only_offered_here, open.sequence, open.owner->term},
+                   reason});
 }
 
 void job_gateway::withdraw(instance_id owner, client_job_id job,
@@ -226,23 +187,39 @@
     }
     if (received.outcome != job_outcome::rejected)
     {
+        capacity_.ended(open.owner->domain, received.job);
         answer(received.job, received.outcome, received.retry_after, "owner",
                now, out);
         return;
     }
+    owner_rejected(open, received, owners, now, out);
+}
+
+void job_gateway::owner_rejected(open_job& open, job_verdict const& received,
+                                 std::span<owner_view const> owners,
+                                 time_point now,
+                                 std::vector<gateway_action>& out)
+{
+    capacity_.rejected(open.owner->domain, received.job);
+    // The caller may come back as soon as one of the domains has capacity.
+    open.retry_after = open.declined.empty()
+                           ? received.retry_after
+                           : std::min(open.retry_after, received.retry_after);
     open.declined.push_back(open.owner->domain);
-    auto const next = choose_owner(open, owners);
-    bool const in_time = next && now - open.arrived + next->expected_wait +
-                                         overflow_margin +
-                                         critical_path(open.job.groups) <
-                                     open.job.objective;
-    if (!open.resumed && in_time)
+    auto const second =
+        open.resumed || open.second_domain
+            ? std::nullopt
+            : capacity_.choose_second(open.job, owners, open.declined,
+                                      now - open.arrived, now);
+    if (second)
     {
-        offer_to_owner(open, owners, now, out);
+        open.second_domain = second->owner.domain;
+        open.owner = second->owner;
+        send_offer_to(open, false, second->reason, now, out);
         return;
     }
-    answer(received.job, job_outcome::rejected, received.retry_after,
-           "overloaded", now, out);
+    answer(received.job, job_outcome::rejected, open.retry_after, "overloaded",
+           now, out);
 }
 
 void job_gateway::withdrawal_answered(instance_id from,
@@ -318,7 +295,7 @@
     open.without_owner_since.reset();
     open.owner = *current;
     open.refused = false;
-    send_offer_to(open, !open.moved, now, out);
+    send_offer_to(open, !open.moved, "successor", now, out);
 }
 
 void job_gateway::tick(std::span<owner_view const> owners, time_point now,
@@ -363,7 +340,7 @@
         {
             withdraw(open.owner->instance, id, {}, now, out);
         }
-        answer(id, outcome, no_owner_retry, reason, now, out);
+        answer(id, outcome, retry_delay({.job = id}), reason, now, out);
     }
 }
 
@@ -375,7 +352,7 @@
         if (open.owner && open.owner->instance == owner)
         {
             open.resumed = true;
-            send_offer_to(open, !open.moved, now, out);
+            send_offer_to(open, !open.moved, "reconnected", now, out);
         }
     }
     for (auto& [key, open] : withdrawals_)
--- a/tests/support/domain_cluster.cpp
+++ b/tests/support/domain_cluster.cpp
@@ -29,7 +29,8 @@
     : key(given)
     , weight(instance_weight)
     , ownership(given, weight, fleet.now())
-    , gateway(given.domain, given.incarnation.value() << process_number_bits)
+    , gateway(given.domain, given.incarnation.value() << process_number_bits,
+              given.instance)
     , executors(fleet)
 {
 }
