Log and count why a job is offered to an owner

Cause: the log did not tell whether a job left its failure domain for a shorter wait or after a rejection.

--- a/include/goldcrestgate/app/entry/entry_metrics.hpp
+++ b/include/goldcrestgate/app/entry/entry_metrics.hpp
@@ -49,6 +49,10 @@
     /// @brief Counts a scheduling decision by its event and reason.
     void count_decision(core::scheduler_log_event const& log_event);
 
+    /// @brief Counts an offer to an owner by the reason of its choice, as a
+    /// decision with the event `job_offered`.
+    void count_offer(core::send_offer const& offer);
+
     /// @brief Counts an order to an executor by its outcome.
     void count_order_outcome(std::string_view order,
                              core::order_outcome outcome);
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -109,7 +109,7 @@
           self_,
           static_cast<std::uint32_t>(settings.cpu_share * weight_per_core),
           loop.now())
-    , gateway_(self_.domain, self_.incarnation.value())
+    , gateway_(self_.domain, self_.incarnation.value(), self_.instance)
     , scheduler_({settings.longest_lease, settings.stop_time,
                   settings.resubmission_delay, settings.remote_rack_factor})
     , caller_server_(loop,
@@ -294,6 +294,7 @@
 
 void entry_instance::apply(core::send_offer const& action)
 {
+    metrics_.count_offer(action);
     log_.write(to_log_line(action));
     if (action.owner != self_.instance)
     {
@@ -400,6 +401,14 @@
     scheduler_.tick(now, orders);
     apply(orders);
     std::vector<core::gateway_action> out;
+    auto const in_own_domain =
+        std::ranges::count_if(connected_peers_,
+                              [this](auto const& peer)
+                              {
+                                  return peer.second.domain == self_.domain;
+                              });
+    gateway_.set_domain_instances(
+        static_cast<std::uint32_t>(in_own_domain + 1));
     gateway_.tick(owners(), now, out);
     apply(out);
     if (is_ready() != ready_logged_)
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -151,6 +151,7 @@
     log_line line{log_level::info, "job_offered"};
     line.text("job", adapter::format_job_id(job.id))
         .text("owner", format_instance(offer.owner))
+        .text("reason", offer.reason)
         .text("service", job.service)
         .number("tasks", tasks)
         .number("cpu_millicores",
--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -130,6 +130,11 @@
     }
 }
 
+void entry_metrics::count_offer(core::send_offer const& offer)
+{
+    ++state_->decisions[{"job_offered", offer.reason}];
+}
+
 void entry_metrics::count_order_outcome(std::string_view order,
                                         core::order_outcome outcome)
 {
