--- a/tests/support/overflow_replay.hpp
+++ b/tests/support/overflow_replay.hpp
@@ -60,6 +60,12 @@
 class overflow_replay
 {
 public:
+    /// 117 executors of 64 cores.
+    static constexpr std::uint32_t domain_millicores = 117 * 64'000;
+    static constexpr std::uint32_t task_millicores = 32'000;
+    /// Share of the capacity that admission counts on.
+    static constexpr double usable_fraction = 0.85;
+
     explicit overflow_replay(overflow_scenario scenario);
 
     /// @brief Returns the counts of a run with the given length.
--- a/tests/unit/job_gateway.cpp
+++ b/tests/unit/job_gateway.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(job_is_offered_to_the_own_domain_first);
     CPPUNIT_TEST(busy_domain_overflows);
     CPPUNIT_TEST(rejected_job_is_offered_to_another_domain);
+    CPPUNIT_TEST(rejected_job_gets_one_more_domain);
+    CPPUNIT_TEST(second_offer_waits_for_the_successor);
     CPPUNIT_TEST(job_follows_the_successor);
     CPPUNIT_TEST(job_of_a_lost_owner_is_not_reported_as_rejected);
     CPPUNIT_TEST(no_owner_is_a_rejection);
@@ -79,6 +81,37 @@
         CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::rejected);
     }
 
+    // Guards against a job that goes round all failure domains.
+    void rejected_job_gets_one_more_domain()
+    {
+        std::vector const owners{owner(1, 11), owner(2, 21), owner(3, 31)};
+        submit(owners);
+        deliver_verdict(11, job_outcome::rejected, owners);
+        auto const second = last<send_offer>();
+        CPPUNIT_ASSERT(second.owner != instance_id{11});
+        CPPUNIT_ASSERT(second.reason == "second_offer");
+        deliver_verdict(second.owner.value(), job_outcome::rejected, owners);
+        CPPUNIT_ASSERT(last<answer_job>().outcome == job_outcome::rejected);
+    }
+
+    // Guards against a third failure domain, or the one that rejected the job,
+    // if the second owner has released its ownership.
+    void second_offer_waits_for_the_successor()
+    {
+        std::vector owners{owner(1, 11), owner(2, 21)};
+        submit(owners);
+        deliver_verdict(11, job_outcome::rejected, owners);
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{21});
+        deliver_verdict(21, job_outcome::not_owner, owners);
+        out_.clear();
+        gateway_.tick(std::vector{owner(1, 11), owner(3, 31)}, now_, out_);
+        CPPUNIT_ASSERT(out_.empty());
+        owners[1] = owner(2, 22, 2);
+        owners.push_back(owner(3, 31));
+        gateway_.tick(owners, now_, out_);
+        CPPUNIT_ASSERT(last<send_offer>().owner == instance_id{22});
+    }
+
     void job_follows_the_successor()
     {
         submit({owner(1, 11)});
