Test both limits of headers in unit.request_budget

headers_are_limited failed since: the periodic check also reports headers that are too large, and the test expected the same connection to be late. It now checks each limit with a connection of its own, and that headers are kept for 3 s.

--- a/tests/unit/request_budget.cpp
+++ b/tests/unit/request_budget.cpp
@@ -214,9 +214,14 @@
         all.open(0);
         all.receive(0, 16 * 1024, false);
         CPPUNIT_ASSERT(!all.budget.has_large_head(all.handles.at(0)));
-        all.receive(0, 16 * 1024 + 1, false);
-        CPPUNIT_ASSERT(all.budget.has_large_head(all.handles.at(0)));
-        all.advance(5s);
+        all.open(1);
+        all.receive(1, 16 * 1024 + 1, false);
+        CPPUNIT_ASSERT(all.budget.has_large_head(all.handles.at(1)));
+        all.advance(250ms);
+        CPPUNIT_ASSERT(all.reasons.at(1) == removal_reason::headers_too_large);
+        all.advance(3s);
+        CPPUNIT_ASSERT(all.handles.contains(0));
+        all.advance(1s);
         CPPUNIT_ASSERT(all.reasons.at(0) == removal_reason::headers_late);
     }
 
