--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -130,6 +130,11 @@
     }
 }
 
+void entry_metrics::count_offer(core::send_offer const& offer)
+{
+    ++state_->decisions[{"job_offered", offer.reason}];
+}
+
 void entry_metrics::count_order_outcome(std::string_view order,
                                         core::order_outcome outcome)
 {
@@ -153,6 +158,9 @@
     }
     detail::add_value(out, "gauge", "caller_connections",
                       instance_stats.caller_connections);
+    detail::add_value(out, "gauge", "open_request_bytes",
+                      instance_stats.open_request_bytes);
+    append_removals(out, instance_stats.request_removals);
     detail::add_value(out, "gauge", "peer_connections",
                       instance_stats.peer_connections);
     detail::add_value(out, "gauge", "open_jobs", instance_stats.open_jobs);
