Sort by precomputed ranks in the order by shares

Each of the four sorts compared serving positions, and stable sorts allocate. Positions are compared once; later sorts compare the rank.

--- a/src/core/leasing/fair_order.cpp
+++ b/src/core/leasing/fair_order.cpp
@@ -43,20 +43,44 @@
     fair_job const* job = nullptr;
     tier urgency = tier::late;
     double start = 0.0;
+    /// Place in the order of classes and positions.
+    std::size_t rank = 0;
     std::size_t class_index = 0;
     std::size_t route_index = 0;
     std::size_t domain_index = 0;
 };
 
+// The rank breaks ties in favour of the earlier position, so that the result
+// is defined without a stable sort.
 void sort_by_start(std::vector<entry>& entries)
 {
-    std::ranges::stable_sort(entries, {},
-                             [](entry const& item)
-                             {
-                                 return std::tuple{item.urgency, item.start,
-                                                   item.job->priority,
-                                                   item.job->position};
-                             });
+    std::ranges::sort(entries,
+                      [](entry const& left, entry const& right)
+                      {
+                          if (left.urgency != right.urgency)
+                          {
+                              return left.urgency < right.urgency;
+                          }
+                          if (left.start != right.start)
+                          {
+                              return left.start < right.start;
+                          }
+                          return left.rank < right.rank;
+                      });
+}
+
+/// Sorts by class and position, and numbers the entries in this order.
+void set_ranks(std::vector<entry>& entries)
+{
+    auto const key = [](entry const& item)
+    {
+        return std::tuple{item.job->priority, item.job->position, item.job};
+    };
+    std::ranges::sort(entries, {}, key);
+    for (std::size_t i = 0; i < entries.size(); ++i)
+    {
+        entries[i].rank = i;
+    }
 }
 
 /// Gives each entry its virtual start time within its share, which the entries
@@ -121,7 +145,7 @@
     entries.reserve(waiting.size());
     for (auto const& job : waiting)
     {
-        entry item{&job, tier_of(job.position.urgency), 0.0, 0, 0, 0};
+        entry item{&job, tier_of(job.position.urgency), 0.0, 0, 0, 0, 0};
         item.class_index = index_of(class_indices, job.priority);
         item.route_index = index_of(route_indices, {job.priority, job.route});
         item.domain_index = index_of(
@@ -152,6 +176,7 @@
     {
         return class_cost(job.priority);
     };
+    set_ranks(entries);
     sort_by_start(entries);
     set_starts(entries, std::move(domain_starts), &entry::domain_index,
                equal_weight);
