Serve by class and share while capacity is insufficient

The priority of a route was not used, and a burst of one route took the capacity of the others. While the waiting tasks of a service need more than its unused capacity, jobs are placed and admitted in the order of fair_order, and the started work is counted. With scheduling.preemption (default off), the tick stops runs of lower classes for tasks that would miss their objectives.

--- a/include/goldcrestgate/app/detail/settings_table.hpp
+++ b/include/goldcrestgate/app/detail/settings_table.hpp
@@ -41,7 +41,7 @@
     std::variant<core::instance_id Settings::*, core::domain_id Settings::*,
                  std::string Settings::*, std::uint32_t Settings::*,
                  std::uint64_t Settings::*, core::duration Settings::*,
-                 double Settings::*, log_level Settings::*>;
+                 double Settings::*, bool Settings::*, log_level Settings::*>;
 
 /// @brief One key of a settings file with the member that it sets.
 template <typename Settings>
--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -50,6 +50,12 @@
     std::uint32_t caller_connection_limit = 0;
     core::duration stop_grace{};
 
+    // scheduling while capacity is insufficient
+    /// Share of a priority class divided by that of the next lower one.
+    double class_weight_ratio = 0;
+    /// Whether running tasks are stopped for tasks of a higher class.
+    bool preemption = false;
+
     // logs
     app::log_level log_level = log_level::info;
     std::uint32_t log_queue_limit_lines = 0;
--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -28,6 +28,8 @@
     std::optional<executor_id> failed_on;
     /// Executor on which the task last failed or was too slow.
     std::optional<executor_id> avoided;
+    /// Whether a run was stopped for urgent work; it happens at most once.
+    bool preempted = false;
 };
 
 struct group_record
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -4,11 +4,13 @@
 #include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/detail/executor_record.hpp"
 #include "goldcrestgate/core/leasing/detail/job_record.hpp"
+#include "goldcrestgate/core/leasing/detail/service_shares.hpp"
 #include "goldcrestgate/core/leasing/given_up_runs.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
 #include "goldcrestgate/core/leasing/owner_probe.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
+#include "goldcrestgate/core/leasing/preemption.hpp"
 #include "goldcrestgate/core/leasing/scheduler_actions.hpp"
 #include "goldcrestgate/core/leasing/serving_order.hpp"
 #include "goldcrestgate/core/leasing/speed_model.hpp"
@@ -38,6 +40,11 @@
     duration resubmission_delay = std::chrono::milliseconds{1300};
     /// Run-time factor of a task outside the rack that holds its data.
     double remote_rack_factor = 2.0;
+    /// Share of a class of jobs divided by that of the next lower one, while
+    /// capacity is insufficient.
+    double class_weight_ratio = 4.0;
+    /// Whether runs are stopped for waiting tasks of a higher class.
+    bool preemption = false;
 };
 
 namespace detail
@@ -85,6 +92,17 @@
     std::vector<executor_record const*> with_capacity;
     /// Number of executors that are kept for suspect tasks.
     std::size_t reserved = 0;
+    /// The waiting jobs with their flows, if they need more than the unused
+    /// capacity.
+    std::unordered_map<job_record const*, fair_job> flows;
+};
+
+/// @brief Capacity of an executor that is unused once the stops of its runs are
+/// confirmed.
+struct expected_capacity
+{
+    executor_record* executor = nullptr;
+    resource_amounts unused;
 };
 
 /// @brief State of a @ref job_scheduler, shared by its source files.
@@ -134,6 +152,9 @@
     /// carried out by a process that has accepted no later order.
     std::set<leased_task> withheld_tasks;
     given_up_runs given_up;
+    /// Shares of the services that were short of capacity within the last
+    /// second.
+    std::map<std::string, service_shares, std::less<>> shares;
 
     // jobs
     void offer(instance_id origin, job_offer const& offered,
@@ -186,6 +207,35 @@
     void reject_unstarted(std::string_view reason, scheduler_context& context);
     [[nodiscard]] std::size_t waiting_tasks() const;
 
+    // shares while capacity is insufficient, and preemption
+    /// Orders the waiting jobs of each service that need more than its unused
+    /// capacity by their shares; the others keep their places.
+    void
+    order_by_share(std::vector<std::pair<serving_position, job_record*>>& order,
+                   std::map<std::string_view, executor_pool>& pools,
+                   scheduler_context& context);
+    /// Places the job and counts what it starts against its share.
+    void place_by_share(job_record& job, executor_pool const& pool,
+                        scheduler_context& context);
+    /// Work that is served before a new job; empty if the unused capacity is
+    /// sufficient for all waiting work.
+    [[nodiscard]] std::optional<double>
+    work_ahead_by_share(job_record const& job, time_point now,
+                        slowdown_range range) const;
+    /// Stops runs of lower classes for waiting tasks that would otherwise miss
+    /// their objectives.
+    void preempt_for_urgent_work(scheduler_context& context);
+    void preempt_in_service(std::string_view service, slowdown_range range,
+                            std::size_t& in_progress,
+                            scheduler_context& context);
+    /// Stops a run for a waiting task, if that is worth it.
+    /// @return whether a run is being stopped
+    bool preempt_for_task(preemption_request const& request,
+                          task_group const& group,
+                          std::span<expected_capacity> capacities,
+                          scheduler_context& context);
+    [[nodiscard]] bool was_preempted(leased_task const& task) const;
+
     // admission; an empty service name selects all services
     [[nodiscard]] admission_verdict evaluate_admission(job_record const& job,
                                                        time_point now) const;
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -86,6 +86,14 @@
       "Time from the stop signal until the process is killed; given by the "
       "platform."},
      &settings::stop_grace},
+    {{"scheduling.class_weight_ratio", number_rule{1, 100, 4.0},
+      "Share of a priority class divided by that of the next lower one, while "
+      "capacity is insufficient."},
+     &settings::class_weight_ratio},
+    {{"scheduling.preemption", core::boolean_rule{false},
+      "Whether running tasks are stopped for waiting tasks of a higher "
+      "priority class that would otherwise miss their objective."},
+     &settings::preemption},
     {{"log.level", text_rule{text_form::choice, "info", log_level_names},
       "Log lines below this level are not written."},
      &settings::log_level},
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -91,6 +91,7 @@
     state_.withdrawn.clear();
     state_.done_tasks.clear();
     state_.unsettled_crashes.clear();
+    state_.shares.clear();
     for (auto& [id, executor] : state_.executors)
     {
         executor.claimed = false;
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/leasing/admission.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/detail/waiting_work.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
 
 #include <algorithm>
@@ -16,23 +17,6 @@
 /// Fraction of an executor's capacity that tasks of usual sizes can use.
 constexpr double usable_fraction = 0.85;
 
-double cpu_work(task_group const& group)
-{
-    return static_cast<double>(group.estimate.count()) / 1e6 *
-           group.each_task.cpu_millicores;
-}
-
-/// Returns the CPU time of the job's waiting tasks in millicore-seconds.
-double waiting_work(job_record const& job)
-{
-    double work = 0.0;
-    for (std::size_t i = 0; i < job.groups.size(); ++i)
-    {
-        work += job.groups[i].waiting * cpu_work(job.job.groups[i]);
-    }
-    return work;
-}
-
 } // namespace
 
 bool scheduler_state::serves(executor_record const& executor,
@@ -155,6 +139,9 @@
             input.work_ahead += waiting_work(other);
         }
     }
+    // Under contention, the order by shares decides what is served before.
+    input.work_ahead =
+        work_ahead_by_share(job, now, range).value_or(input.work_ahead);
     input.usable_millicores = usable_millicores(
         service, now, std::max(slowest_allowed, range.fastest));
     input.can_start_now = input.work_ahead <= 0.0;
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -479,6 +479,7 @@
     move_or_abandon_late_runs(context);
     expire_jobs(context);
     place_waiting(context);
+    preempt_for_urgent_work(context);
 }
 
 } // namespace goldcrestgate::core::detail
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/detail/waiting_work.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -17,15 +18,6 @@
 /// Shortest lease of a start; a shorter one may end before it is renewed.
 constexpr duration min_start_lease = std::chrono::milliseconds{200};
 
-bool has_waiting(job_record const& job)
-{
-    return std::ranges::any_of(job.groups,
-                               [](group_record const& group)
-                               {
-                                   return group.waiting > 0;
-                               });
-}
-
 bool has_label(executor_description const& description,
                std::string const& label)
 {
@@ -143,13 +135,14 @@
                   {
                       return is_withheld(*entry.second, context.now);
                   });
+    order_by_share(order, pools, context);
     for (auto const& [position, job] : order)
     {
         place_suspects(*job, pools.at(job->job.service), context);
     }
     for (auto const& [position, job] : order)
     {
-        place_job(*job, pools.at(job->job.service), context);
+        place_by_share(*job, pools.at(job->job.service), context);
     }
 }
 
