Test long jobs on mixed executors, and refund preempted work

Jobs that only fast executors can finish are raised to the highest waiting class; nothing tested that. A preempted run was counted twice against the share of its flow.

--- a/src/core/leasing/fair_order.cpp
+++ b/src/core/leasing/fair_order.cpp
@@ -86,7 +86,7 @@
 /// Gives each entry its virtual start time within its share, which the entries
 /// before it advance.
 template <typename Index, typename Cost>
-void set_starts(std::vector<entry>& entries, std::vector<double> next,
+void set_starts(std::vector<entry>& entries, std::vector<double>& next,
                 Index index, Cost cost)
 {
     for (auto& item : entries)
@@ -178,13 +178,11 @@
     };
     set_ranks(entries);
     sort_by_start(entries);
-    set_starts(entries, std::move(domain_starts), &entry::domain_index,
-               equal_weight);
+    set_starts(entries, domain_starts, &entry::domain_index, equal_weight);
     sort_by_start(entries);
-    set_starts(entries, std::move(route_starts), &entry::route_index,
-               equal_weight);
+    set_starts(entries, route_starts, &entry::route_index, equal_weight);
     sort_by_start(entries);
-    set_starts(entries, std::move(class_starts), &entry::class_index, by_class);
+    set_starts(entries, class_starts, &entry::class_index, by_class);
     sort_by_start(entries);
     std::vector<std::size_t> result;
     result.reserve(entries.size());
--- a/src/core/leasing/scheduler_preemption.cpp
+++ b/src/core/leasing/scheduler_preemption.cpp
@@ -208,6 +208,18 @@
     auto const task = run->run.task;
     auto& victim = jobs.at(task.job);
     victim.groups[task.group].tasks[task.index].preempted = true;
+    // The repeated run counts against the share of its flow, not both.
+    if (auto const share = shares.find(victim.job.service);
+        share != shares.end())
+    {
+        share->second.order.add_started(
+            {victim.job.route,
+             victim.job.origin_domain,
+             victim.job.priority,
+             0.0,
+             {}},
+            -cpu_work(victim.job.groups[task.group]));
+    }
     capacity->unused = candidates[*choice].freed;
     capacity->unused -= group.each_task;
     scheduler_log_event log_event{.event = "run_preempted",
--- a/tests/unit/fair_order.cpp
+++ b/tests/unit/fair_order.cpp
@@ -232,12 +232,6 @@
     std::uint64_t state_ = 1;
 };
 
-std::vector<std::size_t> order_of(fair_order const& shares,
-                                  std::vector<fair_job> const& jobs)
-{
-    return shares.order(jobs);
-}
-
 fair_job make_job(std::string_view route, std::uint8_t priority, double work,
                   serving_class urgency = serving_class::on_time)
 {
@@ -333,7 +327,7 @@
         std::map<std::uint8_t, double> started;
         for (int i = 0; i < 1700; ++i)
         {
-            auto const& first = jobs[order_of(shares, jobs).front()];
+            auto const& first = jobs[shares.order(jobs).front()];
             started[first.priority] += first.work;
             shares.add_started(first, first.work);
         }
@@ -349,7 +343,7 @@
         std::size_t starts_of_lowest = 0;
         for (int i = 0; i < 1010; ++i)
         {
-            auto const index = order_of(shares, jobs).front();
+            auto const index = shares.order(jobs).front();
             starts_of_lowest += index;
             shares.add_started(jobs[index], jobs[index].work);
         }
@@ -372,7 +366,7 @@
         for (int i = 0; i < 10; ++i)
         {
             std::vector<fair_job> const jobs{first, second};
-            auto const index = order_of(shares, jobs).front();
+            auto const index = shares.order(jobs).front();
             starts_of_second += index;
             shares.add_started(jobs[index], jobs[index].work);
         }
@@ -387,7 +381,7 @@
             make_job("a", 0, 10.0, serving_class::late),
             make_job("a", 0, 10.0, serving_class::late_started),
             make_job("b", 2, 10.0)};
-        CPPUNIT_ASSERT(order_of(fair_order{4.0}, jobs) ==
+        CPPUNIT_ASSERT(fair_order{4.0}.order(jobs) ==
                        (std::vector<std::size_t>{2, 1, 0}));
     }
 
@@ -398,7 +392,7 @@
         std::vector<fair_job> const jobs{
             make_job("", 0, 10.0), make_job("", 0, 10.0), make_job("", 0, 10.0),
             make_job("a", 0, 10.0)};
-        auto const order = order_of(fair_order{4.0}, jobs);
+        auto const order = fair_order{4.0}.order(jobs);
         CPPUNIT_ASSERT(std::ranges::find(order, std::size_t{3}) <=
                        order.begin() + 1);
     }
--- a/tests/unit/fair_scheduling.cpp
+++ b/tests/unit/fair_scheduling.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(busy_route_leaves_the_other_its_share);
     CPPUNIT_TEST(successor_keeps_the_shares);
     CPPUNIT_TEST(urgent_jobs_are_served_in_a_burst);
+    CPPUNIT_TEST(long_jobs_keep_fast_executors);
     CPPUNIT_TEST(route_over_its_share_is_rejected_on_arrival);
     CPPUNIT_TEST(classes_change_nothing_while_capacity_is_free);
     CPPUNIT_TEST(preempted_task_runs_again_in_time);
@@ -224,6 +225,51 @@
         tests::check_rejections(fleet, owner);
     }
 
+    // Guards against long jobs of a low class that are lost behind short ones,
+    // which could run on the slow executors as well.
+    void long_jobs_keep_fast_executors()
+    {
+        executor_fleet fleet{6};
+        for (auto const id : fleet.ids())
+        {
+            fleet.behaviour(id).slowdown = id.value() <= 2 ? 0.8 : 1.25;
+        }
+        fleet_owner owner{fleet};
+        owner.start();
+        std::uint64_t id = 0;
+        for (int i = 0; i < 40; ++i)
+        {
+            owner.submit(make_job(++id, "short", 0, 12, milliseconds{40}),
+                         milliseconds{40});
+            fleet.run_for(milliseconds{120});
+        }
+        std::vector<client_job_id> long_jobs;
+        for (int i = 0; i < 500; ++i)
+        {
+            for (int repeated = 0; repeated < 2; ++repeated)
+            {
+                owner.submit(make_job(++id, "short", 0, 1, milliseconds{60}),
+                             milliseconds{60});
+            }
+            if (i % 30 == 0)
+            {
+                auto const job =
+                    make_job(++id, "long", 2, 1, milliseconds{750});
+                owner.submit(job, milliseconds{750});
+                long_jobs.push_back(job.id);
+            }
+            fleet.run_for(milliseconds{10});
+        }
+        fleet.run_for(milliseconds{2000});
+        auto const served = std::ranges::count_if(
+            long_jobs,
+            [&owner](client_job_id job)
+            {
+                return owner.verdicts.at(job).outcome == job_outcome::completed;
+            });
+        CPPUNIT_ASSERT(static_cast<std::size_t>(served) == long_jobs.size());
+    }
+
     // Guards against the rejection of a job whose route is under its share
     // because of the waiting jobs of another route.
     void route_over_its_share_is_rejected_on_arrival()
