--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -31,6 +31,8 @@
     /// Run time on an executor whose run times equal the estimates, known from
     /// the progress of a run that was stopped; 0 if it is not known.
     duration known_work{};
+    /// Whether a run was stopped for urgent work; it happens at most once.
+    bool preempted = false;
 };
 
 /// @brief Run time of a task of a group, or its projection for a run that was
