Reserve capacity for large tasks in placement rounds

Placement looked only at what is free now, so a task of 12 cores waited while each gap was filled by smaller tasks. With scheduling.reservations above 0, a round in which a task has no capacity plans reservations from the expected ends of the runs; starts that would delay one are held back or backfilled, and executors are preferred on which no unusable remainder is left. With the default 0, the round is as before. Compiled; not run yet.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -85,6 +85,8 @@
     time_point unknown_runs_end{};
     /// Set when the caller has disconnected or its instance is lost.
     std::optional<job_cancellation> cancellation;
+    /// Executors on which reservations for the job have been logged.
+    std::vector<executor_id> reserved_on;
 
     /// Whether a task may have started.
     [[nodiscard]] bool started() const
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/detail/executor_record.hpp"
 #include "goldcrestgate/core/leasing/detail/job_record.hpp"
+#include "goldcrestgate/core/leasing/detail/placement_round.hpp"
 #include "goldcrestgate/core/leasing/given_up_runs.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
@@ -38,6 +39,8 @@
     duration resubmission_delay = std::chrono::milliseconds{1300};
     /// Run-time factor of a task outside the rack that holds its data.
     double remote_rack_factor = 2.0;
+    /// Largest number of reservations for large tasks; 0 disables them.
+    std::uint32_t reservations = 0;
 };
 
 namespace detail
@@ -134,6 +137,8 @@
     /// carried out by a process that has accepted no later order.
     std::set<leased_task> withheld_tasks;
     given_up_runs given_up;
+    /// The last placement round, or the present one.
+    placement_round round;
 
     // jobs
     void offer(instance_id origin, job_offer const& offered,
@@ -186,6 +191,34 @@
     void reject_unstarted(std::string_view reason, scheduler_context& context);
     [[nodiscard]] std::size_t waiting_tasks() const;
 
+    // reservations
+    /// Reserves capacity for the largest tasks that wait without capacity.
+    void plan_reservations(
+        std::span<std::pair<serving_position, job_record*> const> order,
+        std::map<std::string_view, executor_pool> const& pools,
+        scheduler_context& context);
+    /// Adds the executors of all services that accept tasks to the plan.
+    void add_reservable_executors(
+        std::map<std::string_view, executor_pool> const& pools, time_point now);
+    /// Reserves capacity for a task of a group if one may start.
+    void reserve_capacity(job_record const& job, std::uint16_t group,
+                          std::size_t rank, time_point now);
+    /// Removes the executors on which a start of the group's tasks would delay
+    /// a reservation of a job that is earlier in the serving order.
+    void exclude_reserved(job_record const& job, std::uint16_t group,
+                          std::vector<placement_candidate>& candidates) const;
+    /// Records a start of a task of the group.
+    /// @return whether another one may start on the candidate
+    [[nodiscard]] bool
+    record_start_beside_reservations(job_record const& job, std::uint16_t group,
+                                     placement_candidate& candidate);
+    /// Whether a start on a candidate is allowed; marks the candidate if the
+    /// start delays a reservation of a later job.
+    [[nodiscard]] bool allows_start(job_record const& job, std::uint16_t group,
+                                    placement_candidate& candidate) const;
+    /// Logs the reservations on executors that are new for their jobs.
+    void log_reservations(scheduler_context& context);
+
     // admission; an empty service name selects all services
     [[nodiscard]] admission_verdict evaluate_admission(job_record const& job,
                                                        time_point now) const;
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -22,6 +22,8 @@
     std::size_t waiting_tasks = 0;
     std::size_t active_runs = 0;
     std::size_t jobs = 0;
+    /// Reservations of the last placement round.
+    std::size_t reservations = 0;
 };
 
 /// @brief Runs jobs on the executors of a failure domain that this instance
--- a/include/goldcrestgate/core/leasing/placement.hpp
+++ b/include/goldcrestgate/core/leasing/placement.hpp
@@ -19,6 +19,9 @@
     double slowdown = 1.0;
     /// Number of tasks of the group that may still start on the executor.
     std::size_t starts_left = std::numeric_limits<std::size_t>::max();
+    /// Whether a start delays a reservation of a job that is later in the
+    /// serving order.
+    bool delays_reservation = false;
 };
 
 /// @brief Reason for the choice of an executor.
@@ -57,6 +60,9 @@
     double fastest_slowdown = 1.0;
     /// Executor on which the task has failed or was too slow.
     std::optional<executor_id> avoided;
+    /// Smallest CPU amount of the other waiting tasks, if some of them have no
+    /// capacity; otherwise 0. A smaller remainder on an executor is of no use.
+    std::uint32_t smallest_waiting_millicores = 0;
 };
 
 /// Run-time factor that must fit the objective. The objective is itself a
@@ -92,7 +98,10 @@
 /// Intended for executors of different speeds near full utilization. A task
 /// that meets its objective on a slow executor leaves the fast ones to tasks
 /// that need them. Among executors of equal speed, the one with the least free
-/// capacity is chosen (best fit), so that large tasks still find capacity. A
+/// capacity is chosen (best fit), so that large tasks still find capacity. If
+/// other tasks wait without capacity, an executor is preferred on which the
+/// start leaves nothing or enough for one of them. An executor on which the
+/// start delays a reservation is chosen only if no other is as suitable. A
 /// task that only fast executors can finish in time waits for one of them for a
 /// limited time.
 /// @return empty if no candidate has capacity and can finish the task in time,
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -111,7 +111,8 @@
           loop.now())
     , gateway_(self_.domain, self_.incarnation.value())
     , scheduler_({settings.longest_lease, settings.stop_time,
-                  settings.resubmission_delay, settings.remote_rack_factor})
+                  settings.resubmission_delay, settings.remote_rack_factor,
+                  settings.reservations})
     , caller_server_(loop,
                      {.max_body_bytes = settings.body_limit_bytes,
                       .request_timeout = std::chrono::seconds{15},
--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -163,6 +163,7 @@
     detail::add_value(out, "gauge", "owned_jobs", load.jobs);
     detail::add_value(out, "gauge", "waiting_tasks", load.waiting_tasks);
     detail::add_value(out, "gauge", "active_runs", load.active_runs);
+    detail::add_value(out, "gauge", "reservations", load.reservations);
     detail::add_value(out, "gauge", "executors_listed", load.executors);
     detail::add_value(out, "gauge", "executors_claimed", load.claimed);
     detail::add_value(out, "gauge", "free_millicores", load.free_millicores);
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -70,6 +70,10 @@
       "Factor by which a task takes longer outside the rack of its data; "
       "given by the platform."},
      &settings::remote_rack_factor},
+    {{"scheduling.reservations", integer_rule{0, 64, 0},
+      "Largest number of reservations of executor capacity for large waiting "
+      "tasks that an owner has at a time; 0: none."},
+     &settings::reservations},
     {{"callers.resubmission_delay_ms", integer_rule{100, minute_ms, 1300},
       "Time after which a caller that lost its connection submits its job "
       "again; given by the platform."},
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -431,6 +431,9 @@
         }
     }
     load.expected_wait = state_.expected_wait({}, now);
+    load.reservations = state_.owner && state_.round.plan
+                            ? state_.round.plan->reservations().size()
+                            : 0;
     return load;
 }
 
--- a/src/core/leasing/placement.cpp
+++ b/src/core/leasing/placement.cpp
@@ -14,21 +14,42 @@
 /// of equal executors differ by a few percent.
 constexpr double equal_speed_tolerance = 0.08;
 
-bool has_less_capacity(placement_candidate const& left,
-                       placement_candidate const& right)
+/// Returns whether a start leaves capacity that no waiting task can use.
+bool leaves_unusable(placement_candidate const& candidate,
+                     placement_request const& request)
 {
+    auto const left =
+        candidate.free.cpu_millicores - request.demand.cpu_millicores;
+    return left > 0 && left < request.smallest_waiting_millicores;
+}
+
+bool fits_better(placement_candidate const& left,
+                 placement_candidate const& right,
+                 placement_request const& request)
+{
+    bool const left_unusable = leaves_unusable(left, request);
+    if (left_unusable != leaves_unusable(right, request))
+    {
+        return !left_unusable;
+    }
     return left.free.cpu_millicores < right.free.cpu_millicores;
 }
 
 /// Returns whether @a left is preferred over @a right, where both meet the
 /// objective or both miss it.
+/// @pre both have the capacity
 bool is_better(placement_candidate const& left,
-               placement_candidate const& right, bool prefer_slow)
+               placement_candidate const& right,
+               placement_request const& request, bool prefer_slow)
 {
+    if (left.delays_reservation != right.delays_reservation)
+    {
+        return right.delays_reservation;
+    }
     double const difference = left.slowdown - right.slowdown;
     if (std::abs(difference) <= equal_speed_tolerance)
     {
-        return has_less_capacity(left, right);
+        return fits_better(left, right, request);
     }
     return prefer_slow ? difference > 0 : difference < 0;
 }
@@ -71,7 +92,7 @@
             best == nullptr ||
             (meets_objective_here && !best_meets_objective) ||
             (meets_objective_here == best_meets_objective &&
-             is_better(candidate, *best, meets_objective_here));
+             is_better(candidate, *best, request, meets_objective_here));
         if (improves)
         {
             best = &candidate;
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -1,8 +1,8 @@
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/detail/start_limits.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace goldcrestgate::core::detail
 {
@@ -26,37 +26,6 @@
                                });
 }
 
-bool has_label(executor_description const& description,
-               std::string const& label)
-{
-    return label.empty() || std::ranges::find(description.labels, label) !=
-                                description.labels.end();
-}
-
-/// Counts the runs of a group on an executor, including those that are being
-/// stopped.
-std::size_t count_runs(executor_record const& executor, client_job_id job,
-                       std::uint16_t group)
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        executor.runs,
-        [job, group](run_record const& run)
-        {
-            return run.run.task.job == job && run.run.task.group == group;
-        }));
-}
-
-std::size_t starts_left(executor_record const& executor, job_record const& job,
-                        std::uint16_t group)
-{
-    std::size_t const limit = job.job.groups[group].max_per_executor;
-    if (limit == 0)
-    {
-        return std::numeric_limits<std::size_t>::max();
-    }
-    return limit - std::min(limit, count_runs(executor, job.job.id, group));
-}
-
 } // namespace
 
 bool scheduler_state::accepts(executor_record const& executor,
@@ -110,6 +79,7 @@
 
 void scheduler_state::place_waiting(scheduler_context& context)
 {
+    round = {};
     std::vector<job_record*> waiting;
     for (auto& [id, job] : jobs)
     {
@@ -147,9 +117,11 @@
     {
         place_suspects(*job, pools.at(job->job.service), context);
     }
+    plan_reservations(order, pools, context);
     for (auto const& [position, job] : order)
     {
         place_job(*job, pools.at(job->job.service), context);
+        ++round.rank;
     }
 }
 
@@ -317,11 +289,14 @@
     auto const& group_spec = job.job.groups[group];
     auto const& tasks = job.groups[group].tasks;
     auto candidates = find_candidates(job, group, pool, context.now);
+    exclude_reserved(job, group, candidates);
     if (candidates.empty())
     {
         return;
     }
     auto request = make_placement_request(job, group, pool, context.now);
+    request.smallest_waiting_millicores =
+        round.sizes.smallest_beside(job.job.id, group);
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         auto const index = static_cast<std::uint16_t>(i);
@@ -352,7 +327,8 @@
         used->free -= group_spec.each_task;
         --used->starts_left;
         // An executor that is being probed gets no second task.
-        if (!accepts(executor, context.now) ||
+        if (!record_start_beside_reservations(job, group, *used) ||
+            !accepts(executor, context.now) ||
             executor.would_refuse(group_spec.each_task, context.now))
         {
             candidates.erase(used);
