Replay large jobs among small ones with reservations

The simulated executors took every task for one of 27 cores, so tasks of different sizes could not be replayed; the amount can now be set for a job.

--- a/tests/support/executor_fleet.cpp
+++ b/tests/support/executor_fleet.cpp
@@ -89,6 +89,19 @@
     task_work_[task] = work;
 }
 
+void executor_fleet::set_millicores(client_job_id job, std::uint32_t amount)
+{
+    millicores_[job] = amount;
+}
+
+std::uint32_t executor_fleet::millicores(client_job_id job) const
+{
+    // CPU demand of each task of make_leased_job.
+    constexpr std::uint32_t usual_amount = 27'000;
+    auto const found = millicores_.find(job);
+    return found == millicores_.end() ? usual_amount : found->second;
+}
+
 void executor_fleet::set_data_rack(client_job_id job, std::string rack)
 {
     data_racks_[job] = std::move(rack);
--- a/tests/support/executor_fleet.hpp
+++ b/tests/support/executor_fleet.hpp
@@ -80,6 +80,10 @@
     /// @brief Sets the true work of one task, which overrides that of its job.
     void set_work(core::leased_task const& task, core::duration work);
 
+    /// @brief Sets the CPU amount of a job's tasks in millicores; without it,
+    /// a task uses 27 cores.
+    void set_millicores(core::client_job_id job, std::uint32_t amount);
+
     /// @brief Sets the rack that holds a job's data; in other racks its tasks
     /// take twice as long.
     void set_data_rack(core::client_job_id job, std::string rack);
@@ -226,6 +230,8 @@
     };
 
     [[nodiscard]] simulated_executor& target_of(core::executor_id id);
+    /// Returns the CPU amount of one of the job's tasks.
+    [[nodiscard]] std::uint32_t millicores(core::client_job_id job) const;
     [[nodiscard]] core::order_outcome
     start(simulated_executor& target, core::start_run const& order, bool late);
     [[nodiscard]] core::order_outcome stop(simulated_executor& target,
@@ -262,6 +268,7 @@
     std::map<core::executor_id, simulated_executor> executors_;
     std::map<core::client_job_id, core::duration> work_;
     std::map<core::leased_task, core::duration> task_work_;
+    std::map<core::client_job_id, std::uint32_t> millicores_;
     std::map<core::client_job_id, std::string> data_racks_;
     std::map<core::client_job_id, std::size_t> starts_;
     std::set<core::leased_task> acknowledged_as_done_;
--- a/tests/support/executor_fleet_orders.cpp
+++ b/tests/support/executor_fleet_orders.cpp
@@ -21,9 +21,6 @@
 /// Time from the start of a task that crashes its executor to the crash.
 constexpr duration crash_delay = milliseconds{5};
 
-/// CPU demand of each task of @ref make_leased_job.
-constexpr std::uint32_t run_millicores = 27'000;
-
 } // namespace
 
 void executor_fleet::renew_lease(simulated_executor& target,
@@ -89,9 +86,12 @@
     {
         return order_outcome::stale_execution;
     }
-    auto const max_runs =
-        target.description.capacity.cpu_millicores / run_millicores;
-    if (target.runs.size() >= max_runs)
+    auto used = millicores(order.run.task.job);
+    for (auto const& run : target.runs)
+    {
+        used += millicores(run.run.task.job);
+    }
+    if (used > target.description.capacity.cpu_millicores)
     {
         if (!target.behaviour.ignores_capacity)
         {
--- a/tests/support/fleet_owner.cpp
+++ b/tests/support/fleet_owner.cpp
@@ -14,8 +14,8 @@
 using namespace core;
 using std::chrono::milliseconds;
 
-fleet_owner::fleet_owner(executor_fleet& fleet)
-    : scheduler(scheduler_limits{})
+fleet_owner::fleet_owner(executor_fleet& fleet, scheduler_limits const& limits)
+    : scheduler(limits)
     , fleet_(fleet)
 {
     tick();
--- a/tests/support/fleet_owner.hpp
+++ b/tests/support/fleet_owner.hpp
@@ -16,7 +16,8 @@
 class fleet_owner
 {
 public:
-    explicit fleet_owner(executor_fleet& fleet);
+    explicit fleet_owner(executor_fleet& fleet,
+                         core::scheduler_limits const& limits = {});
 
     /// @brief Lists and claims all executors and waits for their answers.
     void start(std::uint64_t token = 1);
