Skip groups that fit on no executor in placement rounds

Each waiting group was compared with every executor that has unused capacity, also if its tasks need more CPU than is free anywhere. The pool now has the largest free amount; such a group gets no candidates at once, as before.

--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -1,6 +1,7 @@
 #include "support/random.hpp"
 
 #include "goldcrestgate/core/admission/admission_queue.hpp"
+#include "goldcrestgate/core/leasing/job_scheduler.hpp"
 #include "goldcrestgate/core/routing/router.hpp"
 
 #include <benchmark/benchmark.h>
@@ -9,6 +10,10 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 namespace
 {
@@ -179,11 +184,116 @@
     }
 }
 
+// An owner of executors of 16 cores with two tasks of 6 cores each, for which
+// 100 jobs of 12 cores and 100 of 6 cores wait.
+class busy_owner
+{
+public:
+    busy_owner(std::uint32_t executors, std::uint32_t reservations)
+        : scheduler_(make_limits(reservations))
+    {
+        for (std::uint32_t i = 1; i <= executors; ++i)
+        {
+            core::executor_description description;
+            description.name = "e" + std::to_string(i);
+            description.address = "127.0.0.1:" + std::to_string(i);
+            description.service = "desk";
+            description.domain = core::domain_id{1};
+            description.capacity = {16'000, 65'536, 0};
+            description.incarnation = 1;
+            scheduler_.list(core::executor_id{i}, description, now_, actions_);
+        }
+        scheduler_.take_over(core::fencing_token{1}, true, now_, actions_);
+        answer_polls();
+        for (std::uint32_t i = 0; i < 2 * executors; ++i)
+        {
+            offer(6'000, std::chrono::milliseconds{50 + i * 37 % 101});
+        }
+        for (int i = 0; i < 100; ++i)
+        {
+            offer(12'000, std::chrono::milliseconds{100});
+            offer(6'000, std::chrono::milliseconds{100});
+        }
+    }
+
+    void run_placement_round()
+    {
+        actions_.clear();
+        scheduler_.suspend(false, now_, actions_);
+    }
+
+    [[nodiscard]] core::scheduler_load load() const
+    {
+        return scheduler_.load(now_);
+    }
+
+private:
+    static core::scheduler_limits make_limits(std::uint32_t reservations)
+    {
+        core::scheduler_limits limits;
+        limits.reservations = reservations;
+        return limits;
+    }
+
+    void answer_polls()
+    {
+        auto const sent = std::exchange(actions_, {});
+        for (auto const& action : sent)
+        {
+            if (auto const* poll = std::get_if<core::poll_executor>(&action))
+            {
+                core::poll_answer answer;
+                answer.order = poll->order;
+                answer.executor = poll->executor;
+                answer.outcome = core::order_outcome::accepted;
+                answer.clock = core::executor_clock{1};
+                answer.incarnation = 1;
+                scheduler_.poll_answered(answer, now_, actions_);
+            }
+        }
+    }
+
+    void offer(std::uint32_t millicores, core::duration estimate)
+    {
+        core::leased_job job;
+        job.id = core::client_job_id{++last_id_};
+        job.service = "desk";
+        job.objective = std::chrono::hours{1};
+        job.time_limit = std::chrono::hours{1};
+        auto& group = job.groups.emplace_back();
+        group.task_count = 1;
+        group.each_task = {millicores, 64, 0};
+        group.estimate = estimate;
+        scheduler_.offer(core::instance_id{1}, {job, {}, false}, now_,
+                         actions_);
+    }
+
+    core::job_scheduler scheduler_;
+    core::time_point now_{std::chrono::seconds{10}};
+    std::vector<core::scheduler_action> actions_;
+    std::uint64_t last_id_ = 0;
+};
+
+// Times one placement round in which no task can start.
+void placement_round(benchmark::State& state)
+{
+    busy_owner owner{static_cast<std::uint32_t>(state.range(0)),
+                     static_cast<std::uint32_t>(state.range(1))};
+    for (auto _ : state)
+    {
+        owner.run_placement_round();
+    }
+    auto const load = owner.load();
+    state.counters["waiting"] = static_cast<double>(load.waiting_tasks);
+    state.counters["reservations"] = static_cast<double>(load.reservations);
+}
+
 } // namespace
 
 BENCHMARK(start_decision)->Arg(50)->Arg(677)->UseManualTime();
 BENCHMARK(start_and_end)->Arg(50)->Arg(677);
 BENCHMARK(push_and_pop);
 BENCHMARK(cancel_large_job)->Iterations(1000);
+BENCHMARK(placement_round)->ArgsProduct({{120, 350, 3000}, {0, 8, 64}});
 
 BENCHMARK_MAIN();
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -86,6 +86,8 @@
     slowdown_range speeds;
     /// Those that have unused capacity.
     std::vector<executor_record const*> with_capacity;
+    /// Largest CPU amount that was free on one of them when the round began.
+    std::uint32_t largest_free_millicores = 0;
     /// Number of executors that are kept for suspect tasks.
     std::size_t reserved = 0;
 };
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -139,9 +139,12 @@
             pools.try_emplace(executor.description.service);
         auto& pool = entry->second;
         pool.speeds.include(speeds.slowdown(id), is_first);
-        if (executor.free_capacity().cpu_millicores > 0)
+        auto const free = executor.free_capacity().cpu_millicores;
+        if (free > 0)
         {
             pool.with_capacity.push_back(&executor);
+            pool.largest_free_millicores =
+                std::max(pool.largest_free_millicores, free);
         }
     }
     return pools;
@@ -154,6 +157,11 @@
 {
     auto const& group_spec = job.job.groups[group];
     std::vector<placement_candidate> candidates;
+    // Near full utilization, most waiting tasks fit on no executor.
+    if (group_spec.each_task.cpu_millicores > pool.largest_free_millicores)
+    {
+        return candidates;
+    }
     for (auto const* const executor : pool.with_capacity)
     {
         auto const free = executor->free_capacity();
--- a/src/core/leasing/scheduler_reservations.cpp
+++ b/src/core/leasing/scheduler_reservations.cpp
@@ -4,8 +4,6 @@
 #include "goldcrestgate/core/leasing/reservation_plan.hpp"
 
 #include <algorithm>
-#include <functional>
-#include <limits>
 
 namespace goldcrestgate::core::detail
 {
@@ -40,16 +38,6 @@
                                      : left.rank < right.rank;
 }
 
-std::uint32_t largest_free_cpu(executor_pool const& pool)
-{
-    std::uint32_t largest = 0;
-    for (auto const* const executor : pool.with_capacity)
-    {
-        largest = std::max(largest, executor->free_capacity().cpu_millicores);
-    }
-    return largest;
-}
-
 /// Returns whether the executors have capacity for all waiting tasks of a
 /// group, if no other task starts.
 bool has_capacity(executor_pool const& pool, job_record const& job,
@@ -128,18 +116,13 @@
     {
         return;
     }
-    std::map<std::string_view, std::uint32_t> largest_free;
-    for (auto const& [service, pool] : pools)
-    {
-        largest_free.emplace(service, largest_free_cpu(pool));
-    }
     waiting_sizes sizes;
     std::vector<blocked_entry> blocked;
     for (std::size_t rank = 0; rank < order.size(); ++rank)
     {
         auto const& job = *order[rank].second;
         auto const& pool = pools.at(job.job.service);
-        auto const largest = largest_free.at(job.job.service);
+        auto const largest = pool.largest_free_millicores;
         for (std::size_t i = 0; i < job.groups.size(); ++i)
         {
             auto const group = static_cast<std::uint16_t>(i);
