--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/detail/executor_record.hpp"
 #include "goldcrestgate/core/leasing/detail/job_record.hpp"
+#include "goldcrestgate/core/leasing/detail/placement_round.hpp"
 #include "goldcrestgate/core/leasing/detail/service_shares.hpp"
 #include "goldcrestgate/core/leasing/given_up_runs.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
@@ -46,6 +47,8 @@
     double class_weight_ratio = 4.0;
     /// Whether runs are stopped for waiting tasks of a higher class.
     bool preemption = false;
+    /// Largest number of reservations for large tasks; 0 disables them.
+    std::uint32_t reservations = 0;
 };
 
 namespace detail
@@ -91,6 +94,8 @@
     slowdown_range speeds;
     /// Those that have unused capacity.
     std::vector<executor_record const*> with_capacity;
+    /// Largest CPU amount that was free on one of them when the round began.
+    std::uint32_t largest_free_millicores = 0;
     /// Number of executors that are kept for suspect tasks.
     std::size_t reserved = 0;
     /// Share of the fast executors' capacity that is free.
@@ -159,6 +164,8 @@
     /// Shares of the services that were short of capacity within the last
     /// second.
     std::map<std::string, service_shares, std::less<>> shares;
+    /// The last placement round, or the present one.
+    placement_round round;
 
     // jobs
     void offer(instance_id origin, job_offer const& offered,
@@ -265,6 +272,34 @@
                           scheduler_context& context);
     [[nodiscard]] bool was_preempted(leased_task const& task) const;
 
+    // reservations
+    /// Reserves capacity for the largest tasks that wait without capacity.
+    void plan_reservations(
+        std::span<std::pair<serving_position, job_record*> const> order,
+        std::map<std::string_view, executor_pool> const& pools,
+        scheduler_context& context);
+    /// Adds the executors of all services that accept tasks to the plan.
+    void add_reservable_executors(
+        std::map<std::string_view, executor_pool> const& pools, time_point now);
+    /// Reserves capacity for a task of a group if one may start.
+    void reserve_capacity(job_record const& job, std::uint16_t group,
+                          std::size_t rank, time_point now);
+    /// Removes the executors on which a start of the group's tasks would delay
+    /// a reservation of a job that is earlier in the serving order.
+    void exclude_reserved(job_record const& job, std::uint16_t group,
+                          std::vector<placement_candidate>& candidates) const;
+    /// Records a start of a task of the group.
+    /// @return whether another one may start on the candidate
+    [[nodiscard]] bool
+    record_start_beside_reservations(job_record const& job, std::uint16_t group,
+                                     placement_candidate& candidate);
+    /// Whether a start on a candidate is allowed; marks the candidate if the
+    /// start delays a reservation of a later job.
+    [[nodiscard]] bool allows_start(job_record const& job, std::uint16_t group,
+                                    placement_candidate& candidate) const;
+    /// Logs the reservations on executors that are new for their jobs.
+    void log_reservations(scheduler_context& context);
+
     // admission; an empty service name selects all services
     [[nodiscard]] admission_verdict evaluate_admission(job_record const& job,
                                                        time_point now) const;
