--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -240,10 +240,15 @@
         detail::checked_address(settings_.metrics_address)));
     BOOST_LEAF_CHECK(
         peer_network_.listen(detail::checked_address(settings_.peers_address)));
-    log_.write(log_line{log_level::info, "started"}
-                   .text("instance", settings_.name)
-                   .text("failure_domain", settings_.failure_domain)
-                   .text("peers_address", settings_.peers_address));
+    log_.write(
+        log_line{log_level::info, "started"}
+            .text("instance", settings_.name)
+            .text("failure_domain", settings_.failure_domain)
+            .text("peers_address", settings_.peers_address)
+            .number("open_request_budget_bytes",
+                    static_cast<std::int64_t>(
+                        caller_server_options(settings_, read_resources())
+                            .limits->budget_bytes)));
     loop_.on_stall(core::pause_limit,
                    [this](core::duration lateness)
                    {
