--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -237,7 +237,7 @@
                                               double fast_free_share) const;
     /// Factor below which the run time of a job's critical path stays too
     /// rarely to start it.
-    [[nodiscard]] double best_case_factor(leased_job const& job,
+    [[nodiscard]] double best_case_factor(std::string_view route,
                                           duration estimate) const;
     /// Free share of the capacity of a service's fast executors.
     [[nodiscard]] double fast_free_share(std::string_view service,
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -108,7 +108,8 @@
 {
     std::string_view const service = job.job.service;
     auto const range = slowdowns(now)[service];
-    double const best_case = best_case_factor(job.job, job.critical_path_time);
+    double const best_case =
+        best_case_factor(job.job.route, job.critical_path_time);
     // Highest slowdown at which an executor may still finish the job in time.
     double const slowest_allowed =
         job.critical_path_time > duration{}
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -385,7 +385,7 @@
         }
         double const fastest = ranges[job.job.service].fastest;
         double const best_case =
-            best_case_factor(job.job, job.critical_path_time);
+            best_case_factor(job.job.route, job.critical_path_time);
         auto const finish = context.now + scale_duration(job.critical_path_time,
                                                          fastest * best_case);
         if (job.cancellation && job.cancellation->at <= context.now)
--- a/src/core/leasing/scheduler_run_times.cpp
+++ b/src/core/leasing/scheduler_run_times.cpp
@@ -124,8 +124,7 @@
         : free_share >= partly_free ? margin_probability_partly_free
                                     : worst_case_probability;
     run_time_factors factors;
-    factors.best_case =
-        run_times.quantile(route, estimate, best_case_probability);
+    factors.best_case = best_case_factor(route, estimate);
     factors.worst_case =
         run_times.quantile(route, estimate, worst_case_probability);
     factors.slow_executor_margin =
@@ -133,10 +132,14 @@
     return factors;
 }
 
-double scheduler_state::best_case_factor(leased_job const& job,
+// Where run times scatter little, the quantile is close to 1. Jobs that miss
+// their objective by a small part of their run time are served late rather than
+// rejected after a wait, so the assumed factor is the upper bound.
+double scheduler_state::best_case_factor(std::string_view route,
                                          duration estimate) const
 {
-    return run_times.quantile(job.route, estimate, best_case_probability);
+    return std::min(run_time_factors{}.best_case,
+                    run_times.quantile(route, estimate, best_case_probability));
 }
 
 double scheduler_state::fast_free_share(std::string_view service,
