Serve by shares only where a setting asks for it, and make rounds cheaper

Change: scheduling.fair_shares, off by default, switches the order by class and share on; preemption needs it. The factors of a job's critical path are computed when it is offered, and the free share of fast executors comes from the pool of the round. Preemption uses the shared has_label.

--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -60,6 +60,8 @@
     // scheduling while capacity is insufficient
     /// Share of a priority class divided by that of the next lower one.
     double class_weight_ratio = 0;
+    /// Whether waiting jobs are served by class and share.
+    bool fair_shares = false;
     /// Whether running tasks are stopped for tasks of a higher class.
     bool preemption = false;
 
--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestgate/core/leasing/job_messages.hpp"
+#include "goldcrestgate/core/leasing/placement.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -86,6 +87,9 @@
     time_point due{};
     time_point deadline{};
     duration critical_path_time{};
+    /// Factors of the critical path's run time, as known when the job was
+    /// offered: each placement round orders all waiting jobs by them.
+    run_time_factors path_factors;
     std::vector<group_record> groups;
     /// Number of groups with a task that is not done.
     std::size_t unfinished_groups = 0;
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -45,6 +45,9 @@
     /// Share of a class of jobs divided by that of the next lower one, while
     /// capacity is insufficient.
     double class_weight_ratio = 4.0;
+    /// Whether waiting jobs are served by class and share while capacity is
+    /// insufficient.
+    bool fair_shares = false;
     /// Whether runs are stopped for waiting tasks of a higher class.
     bool preemption = false;
     /// Largest number of reservations for large tasks; 0 disables them.
@@ -87,9 +90,22 @@
     }
 };
 
+/// @brief Speed and capacity of an executor that accepts tasks.
+struct pool_member
+{
+    double slowdown = 1.0;
+    std::uint32_t millicores = 0;
+    std::uint32_t free_millicores = 0;
+};
+
 /// @brief The executors of a service that accept tasks.
 struct executor_pool
 {
+    /// @brief Returns the free share of the fast executors' capacity.
+    /// @par Thread safety
+    /// Safe for concurrent readers.
+    [[nodiscard]] double fast_free_share() const;
+
     /// Speeds of all of them.
     slowdown_range speeds;
     /// Those that have unused capacity.
@@ -98,8 +114,8 @@
     std::uint32_t largest_free_millicores = 0;
     /// Number of executors that are kept for suspect tasks.
     std::size_t reserved = 0;
-    /// Share of the fast executors' capacity that is free.
-    double fast_free_share = 0.0;
+    /// All of them, with the capacities when the round began.
+    std::vector<pool_member> members;
     /// The waiting jobs with their flows, if they need more than the unused
     /// capacity.
     std::unordered_map<job_record const*, fair_job> flows;
@@ -231,17 +247,10 @@
     void learn_group_run_times(job_record const& job, group_record const& group,
                                task_group const& group_spec);
     /// Factors for the tasks of a group.
-    /// @param fast_free_share see @ref executor_pool
+    /// @param free_share see @ref executor_pool::fast_free_share
     [[nodiscard]] run_time_factors factors_of(std::string_view route,
                                               duration estimate,
-                                              double fast_free_share) const;
-    /// Factor below which the run time of a job's critical path stays too
-    /// rarely to start it.
-    [[nodiscard]] double best_case_factor(std::string_view route,
-                                          duration estimate) const;
-    /// Free share of the capacity of a service's fast executors.
-    [[nodiscard]] double fast_free_share(std::string_view service,
-                                         double fastest, time_point now) const;
+                                              double free_share) const;
 
     // shares while capacity is insufficient, and preemption
     /// Orders the waiting jobs of each service that need more than its unused
@@ -310,9 +319,8 @@
     [[nodiscard]] double usable_millicores(std::string_view service,
                                            time_point now,
                                            double slowest) const;
-    [[nodiscard]] serving_position serving_position_of(job_record const& job,
-                                                       time_point now,
-                                                       double slowest) const;
+    [[nodiscard]] static serving_position
+    serving_position_of(job_record const& job, time_point now, double slowest);
     [[nodiscard]] duration expected_wait(std::string_view service,
                                          time_point now) const;
     /// Retry delay of the caller of a rejected job.
@@ -326,9 +334,9 @@
     slowdowns(time_point now) const;
     /// Latest start at which the job meets its objective.
     [[nodiscard]] static time_point latest_start(job_record const& job);
-    [[nodiscard]] bool job_needs_fast_executor(job_record const& job,
-                                               time_point now,
-                                               double slowest) const;
+    [[nodiscard]] static bool job_needs_fast_executor(job_record const& job,
+                                                      time_point now,
+                                                      double slowest);
 
     // runs and orders
     void start(job_record& job, std::uint16_t group, std::uint16_t index,
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -112,8 +112,8 @@
     , gateway_(self_.domain, self_.incarnation.value(), self_.instance)
     , scheduler_({settings.longest_lease, settings.stop_time,
                   settings.resubmission_delay, settings.remote_rack_factor,
-                  settings.class_weight_ratio, settings.preemption,
-                  settings.reservations})
+                  settings.class_weight_ratio, settings.fair_shares,
+                  settings.preemption, settings.reservations})
     , caller_server_(loop, caller_server_options(settings, read_resources()))
     , request_removals_(loop, caller_server_, log)
     , readiness_server_(loop, {})
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -92,7 +92,7 @@
       "limit of the process may allow fewer."},
      &settings::caller_connection_limit},
     {{"callers.open_request_budget_bytes",
-      integer_rule{0, 1024 * 1024 * mebibyte, 0},
+      integer_rule{0, mebibyte* mebibyte, 0},
       "Memory for caller requests that are received and not yet answered; 0 "
       "means a quarter of the memory. At least one request of the largest size "
       "always fits."},
@@ -113,6 +113,10 @@
       "Share of a priority class divided by that of the next lower one, while "
       "capacity is insufficient."},
      &settings::class_weight_ratio},
+    {{"scheduling.fair_shares", core::boolean_rule{false},
+      "Whether waiting jobs are served by priority class and by shares of "
+      "routes and failure domains while capacity is insufficient."},
+     &settings::fair_shares},
     {{"scheduling.preemption", core::boolean_rule{false},
       "Whether running tasks are stopped for waiting tasks of a higher "
       "priority class that would otherwise miss their objective."},
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -43,7 +43,7 @@
 
 serving_position scheduler_state::serving_position_of(job_record const& job,
                                                       time_point now,
-                                                      double slowest) const
+                                                      double slowest)
 {
     return core::serving_position_of(
         {job.due, latest_start(job), job_needs_fast_executor(job, now, slowest),
@@ -95,12 +95,10 @@
 }
 
 bool scheduler_state::job_needs_fast_executor(job_record const& job,
-                                              time_point now,
-                                              double slowest) const
+                                              time_point now, double slowest)
 {
-    auto const factors = factors_of(job.job.route, job.critical_path_time, 0.0);
     return needs_fast_executor(job.critical_path_time, job.deadline - now,
-                               slowest, factors.worst_case);
+                               slowest, job.path_factors.worst_case);
 }
 
 admission_verdict scheduler_state::evaluate_admission(job_record const& job,
@@ -108,8 +106,7 @@
 {
     std::string_view const service = job.job.service;
     auto const range = slowdowns(now)[service];
-    double const best_case =
-        best_case_factor(job.job.route, job.critical_path_time);
+    double const best_case = job.path_factors.best_case;
     // Highest slowdown at which an executor may still finish the job in time.
     double const slowest_allowed =
         job.critical_path_time > duration{}
--- a/src/core/leasing/scheduler_fairness.cpp
+++ b/src/core/leasing/scheduler_fairness.cpp
@@ -136,6 +136,10 @@
     std::map<std::string_view, executor_pool>& pools,
     scheduler_context& context)
 {
+    if (!limits.fair_shares)
+    {
+        return;
+    }
     std::map<std::string_view, std::vector<std::size_t>> by_service;
     for (std::size_t i = 0; i < order.size(); ++i)
     {
@@ -232,6 +236,10 @@
 scheduler_state::work_ahead_by_share(job_record const& job, time_point now,
                                      slowdown_range range) const
 {
+    if (!limits.fair_shares)
+    {
+        return std::nullopt;
+    }
     auto const& service = job.job.service;
     capacity_balance balance;
     std::vector<fair_job> waiting;
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -118,6 +118,8 @@
     job.due = context.now - offered.elapsed + offered.job.objective;
     job.deadline = context.now - offered.elapsed + offered.job.time_limit;
     job.critical_path_time = critical_path(offered.job.groups);
+    job.path_factors =
+        factors_of(offered.job.route, job.critical_path_time, 0.0);
     job.inherited = offered.resumed;
     if (may_run_elsewhere)
     {
@@ -384,8 +386,7 @@
             suspect_unlisted_tasks(job, context);
         }
         double const fastest = ranges[job.job.service].fastest;
-        double const best_case =
-            best_case_factor(job.job.route, job.critical_path_time);
+        double const best_case = job.path_factors.best_case;
         auto const finish = context.now + scale_duration(job.critical_path_time,
                                                          fastest * best_case);
         if (job.cancellation && job.cancellation->at <= context.now)
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -138,8 +138,11 @@
         auto const [entry, is_first] =
             pools.try_emplace(executor.description.service);
         auto& pool = entry->second;
-        pool.speeds.include(speeds.slowdown(id), is_first);
         auto const free = executor.free_capacity().cpu_millicores;
+        auto const slowdown = speeds.slowdown(id);
+        pool.speeds.include(slowdown, is_first);
+        pool.members.push_back(
+            {slowdown, executor.description.capacity.cpu_millicores, free});
         if (free > 0)
         {
             pool.with_capacity.push_back(&executor);
@@ -147,11 +150,6 @@
                 std::max(pool.largest_free_millicores, free);
         }
     }
-    for (auto& [service, pool] : pools)
-    {
-        pool.fast_free_share =
-            fast_free_share(service, pool.speeds.fastest, now);
-    }
     return pools;
 }
 
@@ -213,7 +211,7 @@
     request.waited = now - (job.deadline - job.job.time_limit);
     request.fastest_slowdown = pool.speeds.fastest;
     request.factors =
-        factors_of(job.job.route, group_spec.estimate, pool.fast_free_share);
+        factors_of(job.job.route, group_spec.estimate, pool.fast_free_share());
     return request;
 }
 
--- a/src/core/leasing/scheduler_preemption.cpp
+++ b/src/core/leasing/scheduler_preemption.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/detail/start_limits.hpp"
 #include "goldcrestgate/core/leasing/detail/waiting_work.hpp"
 
 #include <algorithm>
@@ -13,13 +14,6 @@
 /// that wrong estimates of a burst cost little.
 constexpr std::size_t max_preemptions = 4;
 
-bool has_label(executor_description const& description,
-               std::string const& label)
-{
-    return label.empty() || std::ranges::find(description.labels, label) !=
-                                description.labels.end();
-}
-
 bool is_stopping(run_record const& run)
 {
     return run.phase == run_phase::stopping ||
@@ -42,7 +36,7 @@
 
 void scheduler_state::preempt_for_urgent_work(scheduler_context& context)
 {
-    if (!limits.preemption || suspended)
+    if (!limits.preemption || !limits.fair_shares || suspended)
     {
         return;
     }
--- a/src/core/leasing/scheduler_run_times.cpp
+++ b/src/core/leasing/scheduler_run_times.cpp
@@ -124,7 +124,12 @@
         : free_share >= partly_free ? margin_probability_partly_free
                                     : worst_case_probability;
     run_time_factors factors;
-    factors.best_case = best_case_factor(route, estimate);
+    // Where run times scatter little, the quantile is close to 1. Jobs that
+    // miss their objective by a small part of their run time are served late
+    // rather than rejected after a wait, so the assumed factor is the bound.
+    factors.best_case =
+        std::min(factors.best_case,
+                 run_times.quantile(route, estimate, best_case_probability));
     factors.worst_case =
         run_times.quantile(route, estimate, worst_case_probability);
     factors.slow_executor_margin =
@@ -132,28 +137,16 @@
     return factors;
 }
 
-// Where run times scatter little, the quantile is close to 1. Jobs that miss
-// their objective by a small part of their run time are served late rather than
-// rejected after a wait, so the assumed factor is the upper bound.
-double scheduler_state::best_case_factor(std::string_view route,
-                                         duration estimate) const
-{
-    return std::min(run_time_factors{}.best_case,
-                    run_times.quantile(route, estimate, best_case_probability));
-}
-
-double scheduler_state::fast_free_share(std::string_view service,
-                                        double fastest, time_point now) const
+double executor_pool::fast_free_share() const
 {
     double total = 0.0;
     double free = 0.0;
-    for (auto const& [id, executor] : executors)
+    for (auto const& member : members)
     {
-        if (serves(executor, service, now) &&
-            speeds.slowdown(id) <= fastest * fast_executor_factor)
+        if (member.slowdown <= speeds.fastest * fast_executor_factor)
         {
-            total += executor.description.capacity.cpu_millicores;
-            free += executor.free_capacity().cpu_millicores;
+            total += member.millicores;
+            free += member.free_millicores;
         }
     }
     return total > 0.0 ? free / total : 0.0;
--- a/tests/unit/fair_scheduling.cpp
+++ b/tests/unit/fair_scheduling.cpp
@@ -33,9 +33,16 @@
     return job;
 }
 
-scheduler_limits with_preemption()
+scheduler_limits with_shares()
 {
     scheduler_limits limits;
+    limits.fair_shares = true;
+    return limits;
+}
+
+scheduler_limits with_preemption()
+{
+    auto limits = with_shares();
     limits.preemption = true;
     return limits;
 }
@@ -46,7 +53,7 @@
 {
 public:
     two_routes()
-        : owner_(std::make_unique<fleet_owner>(fleet))
+        : owner_(std::make_unique<fleet_owner>(fleet, with_shares()))
     {
         owner_->start();
     }
@@ -82,7 +89,7 @@
             ended_.emplace(id, verdict.outcome);
         }
         fleet.run_for(milliseconds{100});
-        auto successor = std::make_unique<fleet_owner>(fleet);
+        auto successor = std::make_unique<fleet_owner>(fleet, with_shares());
         successor->list_all();
         successor->take_over(2, true);
         for (auto const& [job, offered_at] : offered_)
@@ -212,7 +219,7 @@
     void urgent_jobs_are_served_in_a_burst()
     {
         executor_fleet fleet{executors};
-        fleet_owner owner{fleet};
+        fleet_owner owner{fleet, with_shares()};
         owner.start();
         std::uint64_t large = 1000;
         std::vector<client_job_id> urgent;
@@ -253,7 +260,7 @@
         {
             fleet.behaviour(id).slowdown = id.value() <= 2 ? 0.8 : 1.25;
         }
-        fleet_owner owner{fleet};
+        fleet_owner owner{fleet, with_shares()};
         owner.start();
         std::uint64_t id = 0;
         for (int i = 0; i < 40; ++i)
@@ -294,7 +301,7 @@
     void route_over_its_share_is_rejected_on_arrival()
     {
         executor_fleet fleet{1};
-        fleet_owner owner{fleet};
+        fleet_owner owner{fleet, with_shares()};
         owner.start();
         std::uint64_t id = 0;
         while (!owner.verdicts.contains(client_job_id{id}))
@@ -349,7 +356,7 @@
     void nothing_is_preempted_by_default()
     {
         executor_fleet fleet{1};
-        fleet_owner owner{fleet};
+        fleet_owner owner{fleet, with_shares()};
         preempt(fleet, owner);
         CPPUNIT_ASSERT(owner.verdicts.at(urgent_id).outcome ==
                        job_outcome::rejected);
@@ -378,7 +385,7 @@
     starts_of_light_load(bool with_classes)
     {
         executor_fleet fleet{executors};
-        fleet_owner owner{fleet};
+        fleet_owner owner{fleet, with_shares()};
         owner.start();
         for (std::uint64_t id = 1; id <= 100; ++id)
         {
