--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -45,6 +45,8 @@
     core::duration stop_time{};
     /// Factor by which a task takes longer outside the rack of its data.
     double remote_rack_factor = 0;
+    /// Largest number of reservations of executor capacity.
+    std::uint32_t reservations = 0;
 
     // callers
     core::duration resubmission_delay{};
@@ -55,6 +57,14 @@
     std::uint32_t least_body_rate_bytes_per_s = 0;
     core::duration stop_grace{};
 
+    // scheduling while capacity is insufficient
+    /// Share of a priority class divided by that of the next lower one.
+    double class_weight_ratio = 0;
+    /// Whether waiting jobs are served by class and share.
+    bool fair_shares = false;
+    /// Whether running tasks are stopped for tasks of a higher class.
+    bool preemption = false;
+
     // logs
     app::log_level log_level = log_level::info;
     std::uint32_t log_queue_limit_lines = 0;
--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestgate/core/leasing/job_messages.hpp"
+#include "goldcrestgate/core/leasing/placement.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -31,6 +32,8 @@
     /// Run time on an executor whose run times equal the estimates, known from
     /// the progress of a run that was stopped; 0 if it is not known.
     duration known_work{};
+    /// Whether a run was stopped for urgent work; it happens at most once.
+    bool preempted = false;
 };
 
 /// @brief Run time of a task of a group, or its projection for a run that was
@@ -84,6 +87,9 @@
     time_point due{};
     time_point deadline{};
     duration critical_path_time{};
+    /// Factors of the critical path's run time, as known when the job was
+    /// offered: each placement round orders all waiting jobs by them.
+    run_time_factors path_factors;
     std::vector<group_record> groups;
     /// Number of groups with a task that is not done.
     std::size_t unfinished_groups = 0;
@@ -102,6 +108,8 @@
     time_point unknown_runs_end{};
     /// Set when the caller has disconnected or its instance is lost.
     std::optional<job_cancellation> cancellation;
+    /// Executors on which reservations for the job have been logged.
+    std::vector<executor_id> reserved_on;
 
     /// Whether a task may have started.
     [[nodiscard]] bool started() const
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -4,11 +4,14 @@
 #include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/detail/executor_record.hpp"
 #include "goldcrestgate/core/leasing/detail/job_record.hpp"
+#include "goldcrestgate/core/leasing/detail/placement_round.hpp"
+#include "goldcrestgate/core/leasing/detail/service_shares.hpp"
 #include "goldcrestgate/core/leasing/given_up_runs.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
 #include "goldcrestgate/core/leasing/owner_probe.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
+#include "goldcrestgate/core/leasing/preemption.hpp"
 #include "goldcrestgate/core/leasing/run_time_model.hpp"
 #include "goldcrestgate/core/leasing/scheduler_actions.hpp"
 #include "goldcrestgate/core/leasing/serving_order.hpp"
@@ -39,6 +42,16 @@
     duration resubmission_delay = std::chrono::milliseconds{1300};
     /// Run-time factor of a task outside the rack that holds its data.
     double remote_rack_factor = 2.0;
+    /// Share of a class of jobs divided by that of the next lower one, while
+    /// capacity is insufficient.
+    double class_weight_ratio = 4.0;
+    /// Whether waiting jobs are served by class and share while capacity is
+    /// insufficient.
+    bool fair_shares = false;
+    /// Whether runs are stopped for waiting tasks of a higher class.
+    bool preemption = false;
+    /// Largest number of reservations for large tasks; 0 disables them.
+    std::uint32_t reservations = 0;
 };
 
 namespace detail
@@ -77,17 +90,43 @@
     }
 };
 
+/// @brief Speed and capacity of an executor that accepts tasks.
+struct pool_member
+{
+    double slowdown = 1.0;
+    std::uint32_t millicores = 0;
+    std::uint32_t free_millicores = 0;
+};
+
 /// @brief The executors of a service that accept tasks.
 struct executor_pool
 {
+    /// @brief Returns the free share of the fast executors' capacity.
+    /// @par Thread safety
+    /// Safe for concurrent readers.
+    [[nodiscard]] double fast_free_share() const;
+
     /// Speeds of all of them.
     slowdown_range speeds;
     /// Those that have unused capacity.
     std::vector<executor_record const*> with_capacity;
+    /// Largest CPU amount that was free on one of them when the round began.
+    std::uint32_t largest_free_millicores = 0;
     /// Number of executors that are kept for suspect tasks.
     std::size_t reserved = 0;
-    /// Share of the fast executors' capacity that is free.
-    double fast_free_share = 0.0;
+    /// All of them, with the capacities when the round began.
+    std::vector<pool_member> members;
+    /// The waiting jobs with their flows, if they need more than the unused
+    /// capacity.
+    std::unordered_map<job_record const*, fair_job> flows;
+};
+
+/// @brief Capacity of an executor that is unused once the stops of its runs are
+/// confirmed.
+struct expected_capacity
+{
+    executor_record* executor = nullptr;
+    resource_amounts unused;
 };
 
 /// @brief State of a @ref job_scheduler, shared by its source files.
@@ -138,6 +177,11 @@
     /// carried out by a process that has accepted no later order.
     std::set<leased_task> withheld_tasks;
     given_up_runs given_up;
+    /// Shares of the services that were short of capacity within the last
+    /// second.
+    std::map<std::string, service_shares, std::less<>> shares;
+    /// The last placement round, or the present one.
+    placement_round round;
 
     // jobs
     void offer(instance_id origin, job_offer const& offered,
@@ -203,17 +247,67 @@
     void learn_group_run_times(job_record const& job, group_record const& group,
                                task_group const& group_spec);
     /// Factors for the tasks of a group.
-    /// @param fast_free_share see @ref executor_pool
+    /// @param free_share see @ref executor_pool::fast_free_share
     [[nodiscard]] run_time_factors factors_of(std::string_view route,
                                               duration estimate,
-                                              double fast_free_share) const;
-    /// Factor below which the run time of a job's critical path stays too
-    /// rarely to start it.
-    [[nodiscard]] double best_case_factor(leased_job const& job,
-                                          duration estimate) const;
-    /// Free share of the capacity of a service's fast executors.
-    [[nodiscard]] double fast_free_share(std::string_view service,
-                                         double fastest, time_point now) const;
+                                              double free_share) const;
+
+    // shares while capacity is insufficient, and preemption
+    /// Orders the waiting jobs of each service that need more than its unused
+    /// capacity by their shares; the others keep their places.
+    void
+    order_by_share(std::vector<std::pair<serving_position, job_record*>>& order,
+                   std::map<std::string_view, executor_pool>& pools,
+                   scheduler_context& context);
+    /// Places the job and counts what it starts against its share.
+    void place_by_share(job_record& job, executor_pool const& pool,
+                        scheduler_context& context);
+    /// Work that is served before a new job; empty if the unused capacity is
+    /// sufficient for all waiting work.
+    [[nodiscard]] std::optional<double>
+    work_ahead_by_share(job_record const& job, time_point now,
+                        slowdown_range range) const;
+    /// Stops runs of lower classes for waiting tasks that would otherwise miss
+    /// their objectives.
+    void preempt_for_urgent_work(scheduler_context& context);
+    void preempt_in_service(std::string_view service, slowdown_range range,
+                            std::size_t& in_progress,
+                            scheduler_context& context);
+    /// Stops a run for a waiting task, if that is worth it.
+    /// @return whether a run is being stopped
+    bool preempt_for_task(preemption_request const& request,
+                          task_group const& group,
+                          std::span<expected_capacity> capacities,
+                          scheduler_context& context);
+    [[nodiscard]] bool was_preempted(leased_task const& task) const;
+
+    // reservations
+    /// Reserves capacity for the largest tasks that wait without capacity.
+    void plan_reservations(
+        std::span<std::pair<serving_position, job_record*> const> order,
+        std::map<std::string_view, executor_pool> const& pools,
+        scheduler_context& context);
+    /// Adds the executors of all services that accept tasks to the plan.
+    void add_reservable_executors(
+        std::map<std::string_view, executor_pool> const& pools, time_point now);
+    /// Reserves capacity for a task of a group if one may start.
+    void reserve_capacity(job_record const& job, std::uint16_t group,
+                          std::size_t rank, time_point now);
+    /// Removes the executors on which a start of the group's tasks would delay
+    /// a reservation of a job that is earlier in the serving order.
+    void exclude_reserved(job_record const& job, std::uint16_t group,
+                          std::vector<placement_candidate>& candidates) const;
+    /// Records a start of a task of the group.
+    /// @return whether another one may start on the candidate
+    [[nodiscard]] bool
+    record_start_beside_reservations(job_record const& job, std::uint16_t group,
+                                     placement_candidate& candidate);
+    /// Whether a start on a candidate is allowed; marks the candidate if the
+    /// start delays a reservation of a later job.
+    [[nodiscard]] bool allows_start(job_record const& job, std::uint16_t group,
+                                    placement_candidate& candidate) const;
+    /// Logs the reservations on executors that are new for their jobs.
+    void log_reservations(scheduler_context& context);
 
     // admission; an empty service name selects all services
     [[nodiscard]] admission_verdict evaluate_admission(job_record const& job,
@@ -225,9 +319,8 @@
     [[nodiscard]] double usable_millicores(std::string_view service,
                                            time_point now,
                                            double slowest) const;
-    [[nodiscard]] serving_position serving_position_of(job_record const& job,
-                                                       time_point now,
-                                                       double slowest) const;
+    [[nodiscard]] static serving_position
+    serving_position_of(job_record const& job, time_point now, double slowest);
     [[nodiscard]] duration expected_wait(std::string_view service,
                                          time_point now) const;
     /// Retry delay of the caller of a rejected job.
@@ -241,9 +334,9 @@
     slowdowns(time_point now) const;
     /// Latest start at which the job meets its objective.
     [[nodiscard]] static time_point latest_start(job_record const& job);
-    [[nodiscard]] bool job_needs_fast_executor(job_record const& job,
-                                               time_point now,
-                                               double slowest) const;
+    [[nodiscard]] static bool job_needs_fast_executor(job_record const& job,
+                                                      time_point now,
+                                                      double slowest);
 
     // runs and orders
     void start(job_record& job, std::uint16_t group, std::uint16_t index,
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -111,7 +111,9 @@
           loop.now())
     , gateway_(self_.domain, self_.incarnation.value(), self_.instance)
     , scheduler_({settings.longest_lease, settings.stop_time,
-                  settings.resubmission_delay, settings.remote_rack_factor})
+                  settings.resubmission_delay, settings.remote_rack_factor,
+                  settings.class_weight_ratio, settings.fair_shares,
+                  settings.preemption, settings.reservations})
     , caller_server_(loop, caller_server_options(settings, read_resources()))
     , request_removals_(loop, caller_server_, log)
     , readiness_server_(loop, {})
@@ -238,10 +240,15 @@
         detail::checked_address(settings_.metrics_address)));
     BOOST_LEAF_CHECK(
         peer_network_.listen(detail::checked_address(settings_.peers_address)));
-    log_.write(log_line{log_level::info, "started"}
-                   .text("instance", settings_.name)
-                   .text("failure_domain", settings_.failure_domain)
-                   .text("peers_address", settings_.peers_address));
+    log_.write(
+        log_line{log_level::info, "started"}
+            .text("instance", settings_.name)
+            .text("failure_domain", settings_.failure_domain)
+            .text("peers_address", settings_.peers_address)
+            .number("open_request_budget_bytes",
+                    static_cast<std::int64_t>(
+                        caller_server_options(settings_, read_resources())
+                            .limits->budget_bytes)));
     loop_.on_stall(core::pause_limit,
                    [this](core::duration lateness)
                    {
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -74,6 +74,10 @@
       "Factor by which a task takes longer outside the rack of its data; "
       "given by the platform."},
      &settings::remote_rack_factor},
+    {{"scheduling.reservations", integer_rule{0, 64, 0},
+      "Largest number of reservations of executor capacity for large waiting "
+      "tasks that an owner has at a time; 0: none."},
+     &settings::reservations},
     {{"callers.resubmission_delay_ms", integer_rule{100, minute_ms, 1300},
       "Time after which a caller that lost its connection submits its job "
       "again; given by the platform."},
@@ -88,7 +92,7 @@
       "limit of the process may allow fewer."},
      &settings::caller_connection_limit},
     {{"callers.open_request_budget_bytes",
-      integer_rule{0, 1024 * 1024 * mebibyte, 0},
+      integer_rule{0, mebibyte* mebibyte, 0},
       "Memory for caller requests that are received and not yet answered; 0 "
       "means a quarter of the memory. At least one request of the largest size "
       "always fits."},
@@ -105,6 +109,18 @@
       "Time from the stop signal until the process is killed; given by the "
       "platform."},
      &settings::stop_grace},
+    {{"scheduling.class_weight_ratio", number_rule{1, 100, 4.0},
+      "Share of a priority class divided by that of the next lower one, while "
+      "capacity is insufficient."},
+     &settings::class_weight_ratio},
+    {{"scheduling.fair_shares", core::boolean_rule{false},
+      "Whether waiting jobs are served by priority class and by shares of "
+      "routes and failure domains while capacity is insufficient."},
+     &settings::fair_shares},
+    {{"scheduling.preemption", core::boolean_rule{false},
+      "Whether running tasks are stopped for waiting tasks of a higher "
+      "priority class that would otherwise miss their objective."},
+     &settings::preemption},
     {{"log.level", text_rule{text_form::choice, "info", log_level_names},
       "Log lines below this level are not written."},
      &settings::log_level},
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -91,6 +91,7 @@
     state_.withdrawn.clear();
     state_.done_tasks.clear();
     state_.unsettled_crashes.clear();
+    state_.shares.clear();
     for (auto& [id, executor] : state_.executors)
     {
         executor.claimed = false;
@@ -431,6 +432,9 @@
         }
     }
     load.expected_wait = state_.expected_wait({}, now);
+    load.reservations = state_.owner && state_.round.plan
+                            ? state_.round.plan->reservations().size()
+                            : 0;
     return load;
 }
 
--- a/src/core/leasing/scheduler_admission.cpp
+++ b/src/core/leasing/scheduler_admission.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/core/leasing/admission.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/detail/waiting_work.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
 
 #include <algorithm>
@@ -16,23 +17,6 @@
 /// Fraction of an executor's capacity that tasks of usual sizes can use.
 constexpr double usable_fraction = 0.85;
 
-double cpu_work(task_group const& group)
-{
-    return static_cast<double>(group.estimate.count()) / 1e6 *
-           group.each_task.cpu_millicores;
-}
-
-/// Returns the CPU time of the job's waiting tasks in millicore-seconds.
-double waiting_work(job_record const& job)
-{
-    double work = 0.0;
-    for (std::size_t i = 0; i < job.groups.size(); ++i)
-    {
-        work += job.groups[i].waiting * cpu_work(job.job.groups[i]);
-    }
-    return work;
-}
-
 } // namespace
 
 bool scheduler_state::serves(executor_record const& executor,
@@ -59,7 +43,7 @@
 
 serving_position scheduler_state::serving_position_of(job_record const& job,
                                                       time_point now,
-                                                      double slowest) const
+                                                      double slowest)
 {
     return core::serving_position_of(
         {job.due, latest_start(job), job_needs_fast_executor(job, now, slowest),
@@ -111,12 +95,10 @@
 }
 
 bool scheduler_state::job_needs_fast_executor(job_record const& job,
-                                              time_point now,
-                                              double slowest) const
+                                              time_point now, double slowest)
 {
-    auto const factors = factors_of(job.job.route, job.critical_path_time, 0.0);
     return needs_fast_executor(job.critical_path_time, job.deadline - now,
-                               slowest, factors.worst_case);
+                               slowest, job.path_factors.worst_case);
 }
 
 admission_verdict scheduler_state::evaluate_admission(job_record const& job,
@@ -124,7 +106,7 @@
 {
     std::string_view const service = job.job.service;
     auto const range = slowdowns(now)[service];
-    double const best_case = best_case_factor(job.job, job.critical_path_time);
+    double const best_case = job.path_factors.best_case;
     // Highest slowdown at which an executor may still finish the job in time.
     double const slowest_allowed =
         job.critical_path_time > duration{}
@@ -158,6 +140,9 @@
             input.work_ahead += waiting_work(other);
         }
     }
+    // Under contention, the order by shares decides what is served before.
+    input.work_ahead =
+        work_ahead_by_share(job, now, range).value_or(input.work_ahead);
     input.usable_millicores = usable_millicores(
         service, now, std::max(slowest_allowed, range.fastest));
     input.can_start_now = input.work_ahead <= 0.0;
