Follow clang-tidy in the new tests

It rejected products that are widened after the multiplication and vectors that grow in a loop. Assertions, clients and bounds are the same.

--- a/tests/unit/fair_order.cpp
+++ b/tests/unit/fair_order.cpp
@@ -144,6 +144,7 @@
     order(std::vector<replayed_job> const& jobs) const
     {
         std::vector<fair_job> views;
+        views.reserve(jobs.size());
         for (auto const& job : jobs)
         {
             views.push_back(view(job));
--- a/tests/unit/request_budget.cpp
+++ b/tests/unit/request_budget.cpp
@@ -13,6 +13,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t body_bytes = 262'144;
+/// Largest headers, and largest request that is never rejected.
+constexpr std::size_t small_bytes = std::size_t{16} * 1024;
 
 /// Connections by id, with the calls that io makes for them.
 struct connections
@@ -127,7 +129,7 @@
         for (std::uint64_t id = 0; id < 100; ++id)
         {
             all.open(id);
-            CPPUNIT_ASSERT(all.complete(id, 16 * 1024));
+            CPPUNIT_ASSERT(all.complete(id, small_bytes));
         }
         CPPUNIT_ASSERT(all.reasons.empty());
     }
@@ -194,7 +196,7 @@
         {
             all.open(id);
         }
-        all.receive(0, 16 * 1024, false);
+        all.receive(0, small_bytes, false);
         all.complete(1, body_bytes);
         all.advance(3s);
         all.receive(0, 17'000);
@@ -212,10 +214,10 @@
     {
         connections all{{}};
         all.open(0);
-        all.receive(0, 16 * 1024, false);
+        all.receive(0, small_bytes, false);
         CPPUNIT_ASSERT(!all.budget.has_large_head(all.handles.at(0)));
         all.open(1);
-        all.receive(1, 16 * 1024 + 1, false);
+        all.receive(1, small_bytes + 1, false);
         CPPUNIT_ASSERT(all.budget.has_large_head(all.handles.at(1)));
         all.advance(250ms);
         CPPUNIT_ASSERT(all.reasons.at(1) == removal_reason::headers_too_large);
--- a/tests/unit/request_limits.cpp
+++ b/tests/unit/request_limits.cpp
@@ -334,8 +334,10 @@
     void idle_connection_makes_room()
     {
         limited_server server{4};
+        constexpr std::size_t clients = 12;
         std::vector<std::unique_ptr<client>> idle;
-        for (int i = 0; i < 12; ++i)
+        idle.reserve(clients);
+        for (std::size_t i = 0; i < clients; ++i)
         {
             idle.push_back(std::make_unique<client>(server));
         }
