Share constants and work sums of the scheduler, and build requests on demand

Cause: found on the second reading. The overrun factor, the factor of different speeds and the weight of a single run time were each defined twice, the retry delay summed waiting work by a loop of its own, and each placement round computed the quantiles of every waiting group for suspect tasks, which most groups lack. Change: detail/run_time_margins.hpp has the constants, retry_after calls waiting_work, and place_suspects makes a request only for a suspect task. Behaviour is meant to be the same.

--- a/src/core/leasing/scheduler_fairness.cpp
+++ b/src/core/leasing/scheduler_fairness.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/run_time_margins.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 #include "goldcrestgate/core/leasing/detail/waiting_work.hpp"
 
@@ -18,10 +19,6 @@
 /// Minimum time between two `job_deferred` lines of a service.
 constexpr duration deferral_log_interval = std::chrono::seconds{1};
 
-/// Slowdowns that differ by this factor are different speeds; learned values of
-/// equal executors differ by a few percent.
-constexpr double different_speed_factor = 1.16;
-
 /// @brief Compares the waiting tasks of a service with its unused capacity.
 class capacity_balance
 {
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/core/admission/retry_delay.hpp"
 #include "goldcrestgate/core/leasing/detail/group_order.hpp"
+#include "goldcrestgate/core/leasing/detail/run_time_margins.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 #include "goldcrestgate/core/leasing/placement.hpp"
@@ -39,9 +40,6 @@
 /// s after a lost answer at the earliest, and one more attempt may follow.
 constexpr duration verdict_retention = std::chrono::seconds{4};
 
-/// Weight of a run time whose error of the estimate is not known.
-constexpr double single_sample_weight = 0.25;
-
 /// Returns whether a verdict holds for a later submission of its job. A job
 /// that failed may be completed with more attempts.
 bool holds_for(retained_verdict const& ended, leased_job const& submitted)
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -248,8 +248,6 @@
                                      scheduler_context& context)
 {
     auto const& tasks = job.groups[group].tasks;
-    auto const group_request =
-        make_placement_request(job, group, pool, context.now);
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
         auto const index = static_cast<std::uint16_t>(i);
@@ -265,8 +263,10 @@
                       {
                           return !executors.at(candidate.executor).runs.empty();
                       });
-        auto const choice =
-            choose_executor(candidates, for_task(group_request, tasks[index]));
+        auto const request =
+            for_task(make_placement_request(job, group, pool, context.now),
+                     tasks[index]);
+        auto const choice = choose_executor(candidates, request);
         if (!choice)
         {
             reserve_executor(job, group, pool);
--- a/src/core/leasing/scheduler_progress.cpp
+++ b/src/core/leasing/scheduler_progress.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/run_time_margins.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
@@ -20,9 +21,6 @@
 constexpr duration long_run_threshold = std::chrono::milliseconds{250};
 constexpr duration progress_poll_delay = std::chrono::milliseconds{100};
 
-/// Run times exceed their expected values by up to this factor.
-constexpr double run_time_overrun_factor = 1.4;
-
 /// Below this progress, its rounding to whole percents makes the projected end
 /// unreliable.
 constexpr std::uint32_t reliable_progress_percent = 4;
--- a/src/core/leasing/scheduler_reservations.cpp
+++ b/src/core/leasing/scheduler_reservations.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/run_time_margins.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 #include "goldcrestgate/core/leasing/detail/start_limits.hpp"
@@ -11,10 +12,6 @@
 namespace
 {
 
-/// Run times exceed their expected values by up to this factor: they vary by
-/// 40%.
-constexpr double run_time_overrun_factor = 1.4;
-
 /// Number of groups for which a reservation is tried, for each one that the
 /// setting allows; it bounds the time of a placement round.
 constexpr std::size_t tries_for_each_reservation = 2;
--- a/src/core/leasing/scheduler_retry.cpp
+++ b/src/core/leasing/scheduler_retry.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/core/admission/retry_delay.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/detail/waiting_work.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -31,13 +32,7 @@
         {
             continue;
         }
-        for (std::size_t i = 0; i < other.groups.size(); ++i)
-        {
-            auto const& group = other.job.groups[i];
-            work += static_cast<double>(other.groups[i].waiting) *
-                    static_cast<double>(group.estimate.count()) *
-                    group.each_task.cpu_millicores;
-        }
+        work += waiting_work(other);
     }
     double const usable =
         std::max(usable_millicores(job.job.service, now,
@@ -45,7 +40,8 @@
                  1.0);
     double const longest_us =
         std::chrono::duration<double>(max_retry_delay).count() * microseconds;
-    duration const drain{std::llround(std::min(work / usable, longest_us))};
+    duration const drain{
+        std::llround(std::min(work * microseconds / usable, longest_us))};
     return retry_delay({job.job.id, drain,
                         std::min(rejected_for, max_rejected_for),
                         job.due - now});
--- a/src/core/leasing/scheduler_run_times.cpp
+++ b/src/core/leasing/scheduler_run_times.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestgate/core/leasing/detail/run_time_margins.hpp"
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
 
@@ -27,13 +28,8 @@
 /// 0.65.
 constexpr double best_case_probability = 0.14;
 
-/// Executors up to this multiple of the lowest slowdown count as fast; learned
-/// slowdowns of equal executors differ by a few percent.
-constexpr double fast_executor_factor = 1.16;
-
-/// Weights of a speed sample against that of a job with three or more tasks,
-/// whose run times show the error of their common estimate.
-constexpr double single_sample_weight = 0.25;
+/// Weight of a speed sample of a job with two tasks. The run times of three or
+/// more tasks show the error of their common estimate.
 constexpr double pair_sample_weight = 0.5;
 
 double relative_run_time(run_time_sample const& sample, duration estimate)
@@ -143,7 +139,7 @@
     double free = 0.0;
     for (auto const& member : members)
     {
-        if (member.slowdown <= speeds.fastest * fast_executor_factor)
+        if (member.slowdown <= speeds.fastest * different_speed_factor)
         {
             total += member.millicores;
             free += member.free_millicores;
