--- a/tests/failure/harness/request_load.py
+++ b/tests/failure/harness/request_load.py
@@ -5,10 +5,10 @@
 machine."""
 
 import socket
-import time
 
 from . import system
 from .leased import LeasedSystem
+from .process_growth import ProcessGrowth
 
 BODY_LIMIT_BYTES = 262_144
 UNFINISHED_BODY_BYTES = 262_000
@@ -49,11 +49,7 @@
     def __enter__(self):
         self.running.__enter__()
         self.check_normal_request(1)
-        process = self.instance.process
-        self.memory_before = process.memory_bytes()
-        self.descriptors_before = process.descriptors()
-        self.memory_growth = 0
-        self.descriptor_growth = 0
+        self.growth = ProcessGrowth(self.instance.process)
         return self
 
     def __exit__(self, *failure):
@@ -62,32 +58,14 @@
         self.running.__exit__(*failure)
 
     def connect(self, count):
-        host, port = self.instance.callers_address.split(":")
-        for _ in range(count):
-            # An instance at its limit leaves connections in the backlog.
-            self.connections.append(
-                socket.create_connection((host, int(port)), timeout=5))
+        self.connections += connect(self.instance.callers_address, count)
         return self.connections[-count:]
 
     def measure(self):
-        process = self.instance.process
-        process.check_running()
-        self.memory_growth = max(
-            self.memory_growth, process.memory_bytes() - self.memory_before)
-        self.descriptor_growth = max(
-            self.descriptor_growth,
-            process.descriptors() - self.descriptors_before)
+        self.growth.measure()
 
     def settle(self):
-        """Measures until the process has read what was sent to it."""
-        changes_until = time.monotonic() + 2
-        end = time.monotonic() + 20
-        while time.monotonic() < min(changes_until, end):
-            before = self.memory_growth
-            time.sleep(0.1)
-            self.measure()
-            if self.memory_growth > before + 256 * 1024:
-                changes_until = time.monotonic() + 2
+        self.growth.settle()
 
     def check_normal_request(self, number):
         answer = self.instance.submit(number, 2, 60)
@@ -98,22 +76,33 @@
         """Checks all bounds and reports all that are exceeded."""
         self.settle()
         faults = []
-        if self.memory_growth > MEMORY_GROWTH_BOUND:
-            faults.append(f"memory grew by {self.memory_growth} bytes, "
-                          f"bound {MEMORY_GROWTH_BOUND}")
-        if self.descriptor_growth > self.descriptor_bound:
-            faults.append(f"{self.descriptor_growth} more descriptors, "
-                          f"bound {self.descriptor_bound}")
         try:
             self.check_normal_request(2)
         except AssertionError as fault:
             faults.append(str(fault))
         self.measure()
-        print(f"memory growth {self.memory_growth}, descriptor growth "
-              f"{self.descriptor_growth}", flush=True)
+        faults = self.growth.faults(MEMORY_GROWTH_BOUND,
+                                    self.descriptor_bound) + faults
         assert not faults, "; ".join(faults)
 
 
+def send_unfinished_bodies(instance, count, first_job):
+    """Opens connections that send most of a body, and returns them."""
+    connections = connect(instance.callers_address, count)
+    for number, connection in enumerate(connections):
+        try_send(connection, request_head(
+            first_job + number, f"content-length: {BODY_LIMIT_BYTES}",
+            host=instance.ip) + b"x" * UNFINISHED_BODY_BYTES)
+    return connections
+
+
+def connect(address, count):
+    """Opens connections; a process at its limit leaves them in the backlog."""
+    host, port = address.split(":")
+    return [socket.create_connection((host, int(port)), timeout=5)
+            for _ in range(count)]
+
+
 def try_send(connection, content):
     """Sends; returns False if the instance has closed the connection."""
     try:
@@ -123,8 +112,8 @@
         return False
 
 
-def request_head(number, *headers):
-    lines = [f"POST /desk/{number:016x} HTTP/1.1", "host: 127.0.0.2",
+def request_head(number, *headers, host="127.0.0.2"):
+    lines = [f"POST /desk/{number:016x} HTTP/1.1", f"host: {host}",
              "content-type: application/json", *headers]
     return "".join(line + "\r\n" for line in lines).encode() + b"\r\n"
 
