Bound the default budget for open requests by what callers can need

Seen: deploy/entry.json names no memory, so that an instance on a host of 24 GB had a budget of 6 GB for open requests. 200 unfinished bodies of 262,000 bytes took 54,198,272 bytes (failure.default_budget, bound 33,554,432).

Cause: the default was a quarter of the memory of the host, whatever the connection limit and the limits of the process.

Change: the default is 16 KiB for each connection, and at most a quarter of the memory, which is now the smallest of that of the machine, the resource limits of the process and the limits of its control groups. Reading the resources and working out the server's limits move to files of their own.

--- a/include/goldcrestgate/app/entry/entry_metrics.hpp
+++ b/include/goldcrestgate/app/entry/entry_metrics.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "goldcrestgate/app/entry/request_removals.hpp"
+#include "goldcrestgate/app/request_removals.hpp"
 #include "goldcrestgate/core/leasing/job_gateway.hpp"
 #include "goldcrestgate/core/leasing/job_scheduler.hpp"
 
--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -26,7 +26,7 @@
     /// Processor cores of the instance; the largest instance of a failure
     /// domain is preferred as the owner of its executors.
     double cpu_share = 0;
-    /// Memory of the process; 0 means that of the machine.
+    /// Memory of the process; 0 means what the machine and its limits allow.
     std::uint64_t memory_mb = 0;
 
     // addresses, `IP:port`
--- a/include/goldcrestgate/app/entry/request_removals.hpp
+++ b/include/goldcrestgate/app/request_removals.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "goldcrestgate/app/entry/entry_settings.hpp"
 #include "goldcrestgate/app/log.hpp"
 #include "goldcrestgate/core/admission/request_budget.hpp"
 #include "goldcrestgate/io/event_loop.hpp"
@@ -14,26 +13,6 @@
 namespace goldcrestgate::app
 {
 
-/// @brief What the machine allows the process to use.
-struct process_resources
-{
-    std::uint64_t memory_bytes = 0;
-    std::uint64_t descriptor_limit = 0;
-};
-
-/// @brief Returns the memory of the machine and the descriptor limit of the
-/// process.
-/// @par Thread safety
-/// Safe to call from any thread.
-[[nodiscard]] process_resources read_resources();
-
-/// @brief Returns the limits of the server for callers.
-/// @par Thread safety
-/// Safe to call from any thread.
-[[nodiscard]] io::http_server_options
-caller_server_options(entry_settings const& settings,
-                      process_resources const& resources);
-
 /// Counts by @ref core::removal_reason.
 using removal_counts = std::array<std::uint64_t, core::removal_reasons.size()>;
 
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/app/detail/checked_address.hpp"
 #include "goldcrestgate/app/detail/new_incarnation.hpp"
+#include "goldcrestgate/app/server_limits.hpp"
 #include "goldcrestgate/core/settings/text_list.hpp"
 
 #include <algorithm>
@@ -55,6 +56,20 @@
 
 constexpr double weight_per_core = 1000.0;
 
+io::http_server_options caller_options(entry_settings const& settings)
+{
+    core::request_limits times;
+    times.request_timeout = settings.request_timeout;
+    times.least_body_rate_bytes_per_s = settings.least_body_rate_bytes_per_s;
+    return caller_server_options(
+        {.memory_mb = settings.memory_mb,
+         .body_limit_bytes = settings.body_limit_bytes,
+         .connection_limit = settings.caller_connection_limit,
+         .open_request_budget_bytes = settings.open_request_budget_bytes,
+         .times = times},
+        read_resources());
+}
+
 std::map<std::string, core::domain_id, std::less<>>
 number_domains(std::string_view names)
 {
@@ -114,7 +129,7 @@
                   settings.resubmission_delay, settings.remote_rack_factor,
                   settings.class_weight_ratio, settings.fair_shares,
                   settings.preemption, settings.reservations})
-    , caller_server_(loop, caller_server_options(settings, read_resources()))
+    , caller_server_(loop, caller_options(settings))
     , request_removals_(loop, caller_server_, log)
     , readiness_server_(loop, {})
     , metrics_server_(loop, {})
@@ -247,8 +262,7 @@
             .text("peers_address", settings_.peers_address)
             .number("open_request_budget_bytes",
                     static_cast<std::int64_t>(
-                        caller_server_options(settings_, read_resources())
-                            .limits->budget_bytes)));
+                        caller_options(settings_).limits->budget_bytes)));
     loop_.on_stall(core::pause_limit,
                    [this](core::duration lateness)
                    {
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -37,8 +37,8 @@
       "domain is preferred as the owner of its executors."},
      &settings::cpu_share},
     {{"instance.memory_mb", integer_rule{0, 16 * mebibyte, 0},
-      "Memory of the process; 0 means that of the machine. Given by the "
-      "platform."},
+      "Memory of the process; 0 means the memory of the machine or the limit "
+      "of the process, whichever is smaller."},
      &settings::memory_mb},
     {{"listen.callers_address", required_address,
       "Address of the HTTP listener for callers."},
@@ -94,8 +94,8 @@
     {{"callers.open_request_budget_bytes",
       integer_rule{0, mebibyte* mebibyte, 0},
       "Memory for caller requests that are received and not yet answered; 0 "
-      "means a quarter of the memory. At least one request of the largest size "
-      "always fits."},
+      "means 16 KiB for each connection, and a quarter of the memory at most. "
+      "At least one request of the largest size always fits."},
      &settings::open_request_budget_bytes},
     {{"callers.request_timeout_ms",
       integer_rule{100, 10 * minute_ms, 15 * second_ms},
