Limit the listeners for readiness and metrics

Seen: 200 connections with unfinished headers or bodies at the listener for readiness checks took 27,783,168 bytes (bound 16,777,216) and 400 descriptors (bound 80), and as many at the listener for metrics.

Cause: only the listener for callers had limits. The two others accepted 10,000 connections with bodies of 8 MiB, with two descriptors each.

Change: both have the limits of the listener for callers, bodies of at most 1 KiB, and listen.monitoring_connection_limit connections (64 by default; the platform and an operator need a few).

--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -34,6 +34,8 @@
     std::string readiness_address;
     std::string peers_address;
     std::string metrics_address;
+    /// Connections to each of the listeners for readiness and metrics.
+    std::uint32_t monitoring_connection_limit = 0;
     std::string store_address;
     /// Time within which a published configuration has to be in force.
     core::duration configuration_age_limit{};
--- a/include/goldcrestgate/app/server_limits.hpp
+++ b/include/goldcrestgate/app/server_limits.hpp
@@ -37,4 +37,11 @@
 caller_server_options(caller_server_settings const& settings,
                       process_resources const& resources);
 
+/// @brief Returns the limits of a server that only the platform and operators
+/// read from. It accepts no bodies to speak of.
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] io::http_server_options
+monitoring_server_options(std::uint32_t connection_limit);
+
 } // namespace goldcrestgate::app
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -131,8 +131,10 @@
                   settings.preemption, settings.reservations})
     , caller_server_(loop, caller_options(settings))
     , request_removals_(loop, caller_server_, log)
-    , readiness_server_(loop, {})
-    , metrics_server_(loop, {})
+    , readiness_server_(
+          loop, monitoring_server_options(settings.monitoring_connection_limit))
+    , metrics_server_(
+          loop, monitoring_server_options(settings.monitoring_connection_limit))
     , peer_network_(
           loop, core::hello{self_, settings.peers_address},
           {.connect_timeout = peer_connect_timeout,
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -52,6 +52,11 @@
     {{"listen.metrics_address", required_address,
       "Address of the HTTP listener for metrics."},
      &settings::metrics_address},
+    {{"listen.monitoring_connection_limit", integer_rule{8, 10'000, 64},
+      "Maximum number of open connections to the listener for readiness "
+      "checks, and to that for metrics; for a further one, the one that has "
+      "been idle or incomplete longest is closed."},
+     &settings::monitoring_connection_limit},
     {{"platform.store_address", required_address,
       "Address of the platform's store."},
      &settings::store_address},
--- a/src/app/server_limits.cpp
+++ b/src/app/server_limits.cpp
@@ -27,6 +27,9 @@
 constexpr std::uint64_t min_receive_buffer_bytes = 16 * kibibyte;
 constexpr std::uint64_t max_receive_buffer_bytes = 64 * kibibyte;
 
+/// A request for readiness or metrics has no body.
+constexpr std::uint64_t monitoring_body_bytes = kibibyte;
+
 /// Of the other descriptors, three tenths are for peers, executors and
 /// connections that are being closed: the smallest limit of 3,075 leaves 2,013
 /// for callers and 862 for 40 peers and the executors of a failure domain.
@@ -77,4 +80,16 @@
                 receive_buffer_bytes(limits.budget_bytes, connections)};
 }
 
+io::http_server_options
+monitoring_server_options(std::uint32_t connection_limit)
+{
+    core::request_limits limits;
+    limits.budget_bytes = connection_limit * limits.small_request_bytes;
+    return {.max_body_bytes = monitoring_body_bytes,
+            .max_connections = connection_limit,
+            .limits = limits,
+            .receive_buffer_bytes =
+                receive_buffer_bytes(limits.budget_bytes, connection_limit)};
+}
+
 } // namespace goldcrestgate::app
