Limit the open requests of goldcrestgated

Seen: 200 unfinished bodies of 262,000 bytes took 53,600,256 bytes (bound 33,554,432) and 400 descriptors (bound 216); 20 unfinished bodies of 8,000,000 bytes took 160,976,896 bytes (bound 50,331,648).

Cause: only the entry instance set limits on its listener for callers.

Change: goldcrestgated uses the same limits, with its own times, without a least rate, and with 60 s for a response that is not read. The settings instance.memory_mb and callers.open_request_budget_bytes are new there; the budget always admits one body of the largest size. Removals are logged and counted as in the entry instance.

--- a/include/goldcrestgate/app/instance.hpp
+++ b/include/goldcrestgate/app/instance.hpp
@@ -88,6 +88,7 @@
     core::instance_key self_;
     core::dispatcher dispatcher_;
     io::http_server server_;
+    request_removals request_removals_;
     caller_api callers_;
     backend_connector backends_;
     io::peer_network peers_;
--- a/include/goldcrestgate/app/instance_settings.hpp
+++ b/include/goldcrestgate/app/instance_settings.hpp
@@ -26,6 +26,8 @@
     core::instance_id id;
     core::domain_id failure_domain;
     std::string rack;
+    /// Memory of the process; 0 means what the machine and its limits allow.
+    std::uint64_t memory_mb = 0;
 
     // addresses, `IP:port`
     std::string callers_address;
@@ -35,6 +37,7 @@
     // callers
     std::uint64_t body_limit_bytes = 0;
     std::uint32_t caller_connection_limit = 0;
+    std::uint64_t open_request_budget_bytes = 0;
     core::duration request_read_timeout{};
     core::duration default_wait{};
     core::duration maximum_wait{};
--- a/include/goldcrestgate/app/metrics.hpp
+++ b/include/goldcrestgate/app/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestgate/app/request_removals.hpp"
 #include "goldcrestgate/core/dispatcher.hpp"
 #include "goldcrestgate/core/events.hpp"
 
@@ -15,6 +16,9 @@
 {
     bool ready = false;
     std::size_t caller_connections = 0;
+    /// Bytes of caller requests that are not answered.
+    std::size_t open_request_bytes = 0;
+    removal_counts request_removals{};
     std::size_t peer_connections = 0;
     std::uint64_t log_lines_dropped = 0;
     std::uint64_t settings_version = 0;
--- a/include/goldcrestgate/core/admission/request_budget.hpp
+++ b/include/goldcrestgate/core/admission/request_budget.hpp
@@ -33,6 +33,8 @@
     duration head_timeout = std::chrono::seconds{4};
     /// Time from the first byte of a request until it is complete.
     duration request_timeout = std::chrono::seconds{15};
+    /// Time for which a response may stay unread.
+    duration response_timeout = std::chrono::seconds{15};
     duration idle_timeout = std::chrono::seconds{15};
     std::size_t least_body_rate_bytes_per_s = 4'096;
 };
--- a/src/app/caller_api.cpp
+++ b/src/app/caller_api.cpp
@@ -61,6 +61,14 @@
         return error_response(error_code::body_too_large,
                               "the body is over the limit")
             .body;
+    case 431:
+        return error_response(error_code::malformed_request,
+                              "the headers are over the limit")
+            .body;
+    case 503:
+        return error_response(error_code::overloaded,
+                              "too many requests are open")
+            .body;
     default:
         return error_response(error_code::malformed_request,
                               "incomplete or malformed HTTP request")
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -60,6 +60,7 @@
 {
     core::request_limits times;
     times.request_timeout = settings.request_timeout;
+    times.response_timeout = settings.request_timeout;
     times.least_body_rate_bytes_per_s = settings.least_body_rate_bytes_per_s;
     return caller_server_options(
         {.memory_mb = settings.memory_mb,
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/app/detail/checked_address.hpp"
 #include "goldcrestgate/app/detail/new_incarnation.hpp"
+#include "goldcrestgate/app/server_limits.hpp"
 
 #include <utility>
 
@@ -16,6 +17,26 @@
 constexpr core::duration linger_limit = std::chrono::milliseconds{500};
 constexpr core::duration linger_poll_interval = std::chrono::milliseconds{10};
 
+/// Responses with the results of large jobs take long on slow networks.
+constexpr core::duration response_timeout = std::chrono::minutes{1};
+
+io::http_server_options caller_options(instance_settings const& settings)
+{
+    core::request_limits times;
+    times.head_timeout = settings.request_read_timeout;
+    times.request_timeout = settings.request_read_timeout;
+    times.idle_timeout = settings.request_read_timeout;
+    times.response_timeout = response_timeout;
+    times.least_body_rate_bytes_per_s = 0;
+    return caller_server_options(
+        {.memory_mb = settings.memory_mb,
+         .body_limit_bytes = settings.body_limit_bytes,
+         .connection_limit = settings.caller_connection_limit,
+         .open_request_budget_bytes = settings.open_request_budget_bytes,
+         .times = times},
+        read_resources());
+}
+
 core::dispatcher build_dispatcher(instance_settings const& settings,
                                   core::instance_key const& self)
 {
@@ -46,8 +67,8 @@
     , log_(log)
     , self_{settings.failure_domain, settings.id, detail::new_incarnation()}
     , dispatcher_(build_dispatcher(settings, self_))
-    , server_(loop, {settings.body_limit_bytes, settings.request_read_timeout,
-                     settings.caller_connection_limit})
+    , server_(loop, caller_options(settings))
+    , request_removals_(loop, server_, log)
     , callers_(loop, server_, settings, metrics_,
                [this](core::event input)
                {
@@ -379,6 +400,8 @@
     process_stats values;
     values.ready = ready_;
     values.caller_connections = server_.connection_count();
+    values.open_request_bytes = server_.open_request_bytes();
+    values.request_removals = request_removals_.totals();
     values.peer_connections = peers_.connected_peers();
     values.log_lines_dropped = log_.dropped();
     values.settings_version = published_settings_.state().version().value();
--- a/src/app/instance_settings.cpp
+++ b/src/app/instance_settings.cpp
@@ -42,6 +42,10 @@
     {{"instance.rack", text_rule{text_form::label, "none", {}},
       "Rack of the instance; copies are placed in another rack if possible."},
      &settings::rack},
+    {{"instance.memory_mb", integer_rule{0, 16 * mebibyte, 0},
+      "Memory of the process; 0 means the memory of the machine or the limit "
+      "of the process, whichever is smaller."},
+     &settings::memory_mb},
     {{"listen.callers_address", required_address,
       "Address of the HTTP listener for callers and operators."},
      &settings::callers_address},
@@ -76,9 +80,16 @@
       "limit would not fit into a frame between instances."},
      &settings::body_limit_bytes},
     {{"callers.connection_limit", integer_rule{16, 1'000'000, 10'000},
-      "Maximum number of open caller connections; further ones wait to be "
-      "accepted."},
+      "Maximum number of open caller connections; for a further one, the one "
+      "that has been idle or incomplete longest is closed. The descriptor "
+      "limit of the process may allow fewer."},
      &settings::caller_connection_limit},
+    {{"callers.open_request_budget_bytes",
+      integer_rule{0, mebibyte* mebibyte, 0},
+      "Memory for caller requests that are received and not yet answered; 0 "
+      "means 16 KiB for each connection, and a quarter of the memory at most. "
+      "At least one request of the largest size always fits."},
+     &settings::open_request_budget_bytes},
     {{"callers.request_read_timeout_ms",
       integer_rule{100, 10 * minute_ms, 10 * second_ms},
       "A caller must send a whole request within this time."},
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -107,6 +107,9 @@
     detail::add_value(out, "gauge", "ready", process.ready ? 1 : 0);
     detail::add_value(out, "gauge", "caller_connections",
                       process.caller_connections);
+    detail::add_value(out, "gauge", "open_request_bytes",
+                      process.open_request_bytes);
+    append_removals(out, process.request_removals);
     detail::add_value(out, "gauge", "peer_connections",
                       process.peer_connections);
     detail::add_value(out, "gauge", "settings_version",
--- a/src/core/admission/request_budget.cpp
+++ b/src/core/admission/request_budget.cpp
@@ -181,7 +181,7 @@
         }
     };
     expire_list(idle_, limits_.idle_timeout, removal_reason::idle);
-    expire_list(answered_, limits_.request_timeout,
+    expire_list(answered_, limits_.response_timeout,
                 removal_reason::response_unread);
     for (auto& open : incomplete_)
     {
