Let timers and peers have their turn between requests

Seen: 300 bodies with 3,000 phases kept an instance busy for 2.2 s in one iteration of the event loop, without heartbeats, polls or leases.

Cause: all requests whose last bytes have arrived were handled in one iteration, however many they were and however long each took.

Change: request_turns bounds the requests of an iteration to 16, 64 KiB of bodies or one larger body. The others wait for the next iterations, small ones first, and one large one in each iteration.

--- a/include/goldcrestgate/app/instance.hpp
+++ b/include/goldcrestgate/app/instance.hpp
@@ -6,6 +6,7 @@
 #include "goldcrestgate/app/log.hpp"
 #include "goldcrestgate/app/metrics.hpp"
 #include "goldcrestgate/app/operator_api.hpp"
+#include "goldcrestgate/app/request_removals.hpp"
 #include "goldcrestgate/app/settings_task.hpp"
 #include "goldcrestgate/core/dispatcher.hpp"
 #include "goldcrestgate/io/event_loop.hpp"
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestgate/io/http_server.hpp"
 
 #include "goldcrestgate/io/detail/http_connection.hpp"
+#include "goldcrestgate/io/detail/request_turns.hpp"
 
 #include <h2o.h>
 #include <h2o/http1.h>
@@ -67,6 +68,9 @@
     };
 
     route_entry const* find_route(http_request const& request) const;
+    /// Calls the route's handler, now or when the request has its turn.
+    void dispatch(route_entry const& route, http_reply const& reply,
+                  std::shared_ptr<pending_reply> const& pending);
     void accept_pending();
     bool make_room();
     void resume_accepting();
@@ -89,6 +93,8 @@
     int receive_buffer_bytes;
     std::vector<route_entry> routes;
     connection_group group;
+    /// Null without limits for untrusted callers.
+    std::unique_ptr<request_turns> turns;
 };
 
 namespace
@@ -222,6 +228,7 @@
                                               });
         group.lingering.set_limit(
             std::max<std::size_t>(max_connections / 16, 4));
+        turns = std::make_unique<request_turns>(loop);
     }
 }
 
@@ -325,16 +332,38 @@
             {404, server.group.make_error_body(404), "application/json", {}});
         return 0;
     }
-    // A reply that the handler has not sent is answered as an internal error
-    // when its last copy is destroyed.
-    server.loop.run_guarded(
-        [&]
-        {
-            route->handle(request, reply);
-        });
+    server.dispatch(*route, reply, pending);
     return 0;
 }
 
+void http_server_state::dispatch(route_entry const& route,
+                                 http_reply const& reply,
+                                 std::shared_ptr<pending_reply> const& pending)
+{
+    auto handle = [this, &route, reply, pending]
+    {
+        if (pending->request == nullptr)
+        {
+            // The connection has been closed meanwhile.
+            return;
+        }
+        auto const request = to_request(*pending->request);
+        // A reply that the handler has not sent is answered as an internal
+        // error when its last copy is destroyed.
+        loop.run_guarded(
+            [&]
+            {
+                route.handle(request, reply);
+            });
+    };
+    if (turns == nullptr)
+    {
+        handle();
+        return;
+    }
+    turns->take(pending->request->entity.len, std::move(handle));
+}
+
 void http_server_state::on_listener(h2o_socket_t* listener, char const* failure)
 {
     if (failure == nullptr)
