Check the number of elements of a job before parsing it

Seen: a body of 250,000 bytes with 3,000 phases was parsed whole, 7.3 ms of a core, and then refused as malformed.

Cause: the number of tasks was checked after all values had been built; only the nesting was checked before.

A list of a job has at most 1,800, since a phase has at least one task and names each earlier one once.

Result: unit.odd_documents refuses 1,801 phases before parsing and accepts 1,800.

--- a/tests/unit/odd_documents.cpp
+++ b/tests/unit/odd_documents.cpp
@@ -2,6 +2,7 @@
 #include "goldcrestgate/io/address.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/job_codec.hpp"
+#include "platform/json_document.hpp"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -31,6 +32,7 @@
 {
     CPPUNIT_TEST_SUITE(odd_documents_test);
     CPPUNIT_TEST(deeply_nested_jobs_are_rejected);
+    CPPUNIT_TEST(jobs_with_too_many_phases_are_not_parsed);
     CPPUNIT_TEST(odd_route_costs_only_itself);
     CPPUNIT_TEST(version_out_of_range_is_refused);
     CPPUNIT_TEST(huge_stretch_gives_no_negative_objective);
@@ -53,6 +55,36 @@
         }
     }
 
+    // Guards against bodies that are parsed whole although they have more
+    // elements than any job; 3,000 phases took 7 ms each.
+    void jobs_with_too_many_phases_are_not_parsed()
+    {
+        using adapter::detail::parse_document;
+        auto const phases = [](std::size_t count)
+        {
+            std::string list = R"([{"count":1,"x":"],,\",["})";
+            for (std::size_t i = 1; i < count; ++i)
+            {
+                list += R"(,{"count":1,"after":[0,0]})";
+            }
+            return R"({"task_spec":"t","best_effort":true,"phases":)" + list +
+                   "]}";
+        };
+        constexpr std::size_t limit = 1'800;
+        CPPUNIT_ASSERT(
+            !parse_document(phases(limit), {.elements = limit}).is_discarded());
+        CPPUNIT_ASSERT(parse_document(phases(limit + 1), {.elements = limit})
+                           .is_discarded());
+        CPPUNIT_ASSERT(!parse_document(phases(limit + 1)).is_discarded());
+        CPPUNIT_ASSERT(std::holds_alternative<adapter::submitted_job>(
+            adapter::decode_job(core::client_job_id{1}, phases(limit))));
+        auto const refused =
+            adapter::decode_job(core::client_job_id{1}, phases(limit + 1));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string{"body"},
+            std::string{std::get<adapter::malformed_job>(refused).field});
+    }
+
     void odd_route_costs_only_itself()
     {
         for (std::string const& route :
