Return freed memory to the system after a load

Seen: after 200 clients had sent bodies in pieces and had closed their connections, 11,399,168 to 16,125,952 bytes of memory stayed (bound 8,388,608).

Cause: the allocator keeps the pages of buffers that were freed between others.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -6,6 +6,7 @@
 #include "goldcrestgate/app/entry/executor_directory.hpp"
 #include "goldcrestgate/app/entry/executor_orders.hpp"
 #include "goldcrestgate/app/entry/topic_watch.hpp"
+#include "goldcrestgate/app/memory_release.hpp"
 #include "goldcrestgate/app/request_removals.hpp"
 #include "goldcrestgate/core/events.hpp"
 #include "goldcrestgate/core/leasing/configuration_exchange.hpp"
@@ -168,6 +169,7 @@
 
     io::http_server caller_server_;
     request_removals request_removals_;
+    memory_release memory_release_;
     io::http_server readiness_server_;
     io::http_server metrics_server_;
     io::peer_network peer_network_;
--- a/include/goldcrestgate/app/instance.hpp
+++ b/include/goldcrestgate/app/instance.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/app/caller_api.hpp"
 #include "goldcrestgate/app/instance_settings.hpp"
 #include "goldcrestgate/app/log.hpp"
+#include "goldcrestgate/app/memory_release.hpp"
 #include "goldcrestgate/app/metrics.hpp"
 #include "goldcrestgate/app/operator_api.hpp"
 #include "goldcrestgate/app/request_removals.hpp"
@@ -73,6 +74,7 @@
     void apply(core::stopped&& action);
 
     void add_health_routes();
+    void release_memory();
     void read_instance_list();
     void on_instance_list(platform::instance_list_result const& result);
     /// Stops the loop at once; logs the running tasks as interrupted unless the
@@ -90,6 +92,8 @@
     core::dispatcher dispatcher_;
     io::http_server server_;
     request_removals request_removals_;
+    memory_release memory_release_;
+    io::timer memory_timer_;
     caller_api callers_;
     backend_connector backends_;
     io::peer_network peers_;
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -411,6 +411,7 @@
                 {}, unresponsive, known_peers_[unresponsive]});
         }
     }
+    memory_release_.update(caller_server_.open_request_bytes(), now);
     query_configuration();
     log_configuration_age();
     directory_.expire(now);
--- a/src/app/instance.cpp
+++ b/src/app/instance.cpp
@@ -17,6 +17,8 @@
 constexpr core::duration linger_limit = std::chrono::milliseconds{500};
 constexpr core::duration linger_poll_interval = std::chrono::milliseconds{10};
 
+constexpr core::duration memory_check_interval = std::chrono::milliseconds{500};
+
 /// Responses with the results of large jobs take long on slow networks.
 constexpr core::duration response_timeout = std::chrono::minutes{1};
 
@@ -69,6 +71,11 @@
     , dispatcher_(build_dispatcher(settings, self_))
     , server_(loop, caller_options(settings))
     , request_removals_(loop, server_, log)
+    , memory_timer_(loop,
+                    [this]
+                    {
+                        release_memory();
+                    })
     , callers_(loop, server_, settings, metrics_,
                [this](core::event input)
                {
@@ -150,6 +157,7 @@
                    .number("instance", settings_.id.value())
                    .number("failure_domain", settings_.failure_domain.value()));
     published_settings_.start();
+    release_memory();
     read_instance_list();
     schedule_tick();
     loop_.run();
@@ -347,6 +355,12 @@
         });
 }
 
+void instance::release_memory()
+{
+    memory_release_.update(server_.open_request_bytes(), loop_.now());
+    memory_timer_.start_after(memory_check_interval);
+}
+
 void instance::on_instance_list(platform::instance_list_result const& result)
 {
     auto const* const failure = std::get_if<core::error>(&result);
