Limit the memory of decoded jobs at gateways and owners

Seen: 200 legal jobs with 1,800 phases in 50 KB each took 196,108,288 bytes of an instance with 64 MB (bound 33,554,432). 60 such jobs at each of three instances took 53,006,336 to 60,792,832 bytes of each.

Cause: the budget for open requests counts bytes as received. A decoded job is larger, both at the instance that has the caller and at the owner, which receives jobs from all instances; neither had a bound.

Change: job_memory counts the decoded jobs at a gateway and at an owner, each within callers.job_memory_bytes. A gateway answers a further job 429, an owner rejects it, so that it never runs. A job that an earlier owner may have started is accepted up to twice the limit, and abandoned above it. One job always fits.

--- a/include/goldcrestgate/app/entry/entry_metrics.hpp
+++ b/include/goldcrestgate/app/entry/entry_metrics.hpp
@@ -27,6 +27,9 @@
     removal_counts request_removals{};
     std::size_t peer_connections = 0;
     std::size_t open_jobs = 0;
+    /// Memory of the open jobs, and of the jobs as an owner.
+    std::size_t open_job_bytes = 0;
+    std::size_t owned_job_bytes = 0;
     std::uint64_t store_calls = 0;
     std::uint64_t log_lines_dropped = 0;
 };
--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -55,6 +55,7 @@
     std::uint64_t body_limit_bytes = 0;
     std::uint32_t caller_connection_limit = 0;
     std::uint64_t open_request_budget_bytes = 0;
+    std::uint64_t job_memory_bytes = 0;
     core::duration request_timeout{};
     std::uint32_t least_body_rate_bytes_per_s = 0;
     core::duration stop_grace{};
--- a/include/goldcrestgate/app/server_limits.hpp
+++ b/include/goldcrestgate/app/server_limits.hpp
@@ -30,6 +30,14 @@
 [[nodiscard]] std::uint64_t memory_bytes(std::uint64_t memory_mb,
                                          process_resources const& resources);
 
+/// @brief Returns the memory for the jobs of callers, and for those of an
+/// owner.
+/// @param setting the setting in bytes; 0 means a part of the memory
+/// @par Thread safety
+/// Safe to call from any thread.
+[[nodiscard]] std::size_t job_memory_limit(std::uint64_t setting,
+                                           std::uint64_t memory_bytes);
+
 /// @brief Returns the limits of the server for callers.
 /// @par Thread safety
 /// Safe to call from any thread.
--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -81,6 +81,8 @@
 struct job_record
 {
     leased_job job;
+    /// Counted in the owner's @ref job_memory.
+    std::size_t memory_bytes = 0;
     instance_id origin;
     /// Number of the last offer.
     std::uint64_t sequence = 0;
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -7,6 +7,7 @@
 #include "goldcrestgate/core/leasing/detail/placement_round.hpp"
 #include "goldcrestgate/core/leasing/detail/service_shares.hpp"
 #include "goldcrestgate/core/leasing/given_up_runs.hpp"
+#include "goldcrestgate/core/leasing/job_memory.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 #include "goldcrestgate/core/leasing/orders.hpp"
 #include "goldcrestgate/core/leasing/owner_probe.hpp"
@@ -52,6 +53,8 @@
     bool preemption = false;
     /// Largest number of reservations for large tasks; 0 disables them.
     std::uint32_t reservations = 0;
+    /// Memory for the jobs of the owner.
+    std::size_t job_memory_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 namespace detail
@@ -135,6 +138,7 @@
 public:
     explicit scheduler_state(scheduler_limits given)
         : limits(given)
+        , memory(given.job_memory_bytes)
     {
     }
 
@@ -162,6 +166,7 @@
     std::optional<time_point> probed_at;
     std::map<executor_id, executor_record> executors;
     std::unordered_map<client_job_id, job_record> jobs;
+    job_memory memory;
     std::unordered_map<client_job_id, retained_verdict> retained_verdicts;
     /// Last withdrawals by job and origin.
     std::map<std::pair<client_job_id, instance_id>, withdrawal_record>
@@ -186,6 +191,11 @@
     // jobs
     void offer(instance_id origin, job_offer const& offered,
                scheduler_context& context);
+    /// Rejects a new job for which there is no memory.
+    /// @return whether it has been rejected
+    [[nodiscard]] bool reject_without_memory(instance_id origin,
+                                             job_offer const& offered,
+                                             scheduler_context& context) const;
     void place_waiting(scheduler_context& context);
     /// Places suspect tasks on executors without runs. An executor that is to
     /// run one next is removed from the pool.
--- a/include/goldcrestgate/core/leasing/job_gateway.hpp
+++ b/include/goldcrestgate/core/leasing/job_gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/core/leasing/domain_capacity.hpp"
 #include "goldcrestgate/core/leasing/domain_ownership.hpp"
+#include "goldcrestgate/core/leasing/job_memory.hpp"
 #include "goldcrestgate/core/leasing/job_messages.hpp"
 
 #include <map>
@@ -82,10 +83,13 @@
     /// which must be above those of an earlier process
     /// @param self this instance; gateways with different ids choose different
     /// domains for their jobs
+    /// @param memory limit of the memory of the jobs; others are rejected
     explicit job_gateway(domain_id own_domain, std::uint64_t first_sequence = 0,
-                         instance_id self = {})
+                         instance_id self = {},
+                         job_memory memory = job_memory{})
         : own_domain_(own_domain)
         , capacity_(own_domain, self)
+        , memory_(memory)
         , last_sequence_(first_sequence)
     {
     }
@@ -136,10 +140,17 @@
         return jobs_.size();
     }
 
+    /// @brief Returns the memory of the unanswered jobs.
+    [[nodiscard]] std::size_t open_job_bytes() const
+    {
+        return memory_.used();
+    }
+
 private:
     struct open_job
     {
         leased_job job;
+        std::size_t memory_bytes = 0;
         std::vector<request_id> requests;
         time_point arrived{};
         std::optional<owner_view> owner;
@@ -201,6 +212,7 @@
 
     domain_id own_domain_;
     domain_capacity capacity_;
+    job_memory memory_;
     std::unordered_map<client_job_id, open_job> jobs_;
     /// Withdrawals that their owners have not answered.
     std::map<std::pair<client_job_id, instance_id>, open_withdrawal>
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -167,6 +167,12 @@
 
     [[nodiscard]] scheduler_load load(time_point now) const;
 
+    /// @brief Returns the memory of the jobs.
+    [[nodiscard]] std::size_t job_bytes() const
+    {
+        return state_.memory.used();
+    }
+
     /// @brief Returns the instances that have the callers of the jobs.
     [[nodiscard]] std::set<instance_id> origins() const;
 
--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -109,6 +109,8 @@
             instance_stats.request_removals = request_removals_.totals();
             instance_stats.peer_connections = peer_network_.connected_peers();
             instance_stats.open_jobs = gateway_.open_jobs();
+            instance_stats.open_job_bytes = gateway_.open_job_bytes();
+            instance_stats.owned_job_bytes = scheduler_.job_bytes();
             instance_stats.store_calls = store_.calls();
             instance_stats.log_lines_dropped = log_.dropped();
             reply.send(
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -56,6 +56,12 @@
 
 constexpr double weight_per_core = 1000.0;
 
+std::size_t job_memory_limit_of(entry_settings const& settings)
+{
+    return job_memory_limit(settings.job_memory_bytes,
+                            memory_bytes(settings.memory_mb, read_resources()));
+}
+
 io::http_server_options caller_options(entry_settings const& settings)
 {
     core::request_limits times;
@@ -125,11 +131,13 @@
           self_,
           static_cast<std::uint32_t>(settings.cpu_share * weight_per_core),
           loop.now())
-    , gateway_(self_.domain, self_.incarnation.value(), self_.instance)
+    , gateway_(self_.domain, self_.incarnation.value(), self_.instance,
+               core::job_memory{job_memory_limit_of(settings)})
     , scheduler_({settings.longest_lease, settings.stop_time,
                   settings.resubmission_delay, settings.remote_rack_factor,
                   settings.class_weight_ratio, settings.fair_shares,
-                  settings.preemption, settings.reservations})
+                  settings.preemption, settings.reservations,
+                  job_memory_limit_of(settings)})
     , caller_server_(loop, caller_options(settings))
     , request_removals_(loop, caller_server_, log)
     , readiness_server_(
@@ -411,7 +419,10 @@
                 {}, unresponsive, known_peers_[unresponsive]});
         }
     }
-    memory_release_.update(caller_server_.open_request_bytes(), now);
+    memory_release_.update(caller_server_.open_request_bytes() +
+                               gateway_.open_job_bytes() +
+                               scheduler_.job_bytes(),
+                           now);
     query_configuration();
     log_configuration_age();
     directory_.expire(now);
--- a/src/app/entry/entry_metrics.cpp
+++ b/src/app/entry/entry_metrics.cpp
@@ -164,6 +164,10 @@
     detail::add_value(out, "gauge", "peer_connections",
                       instance_stats.peer_connections);
     detail::add_value(out, "gauge", "open_jobs", instance_stats.open_jobs);
+    detail::add_value(out, "gauge", "open_job_bytes",
+                      instance_stats.open_job_bytes);
+    detail::add_value(out, "gauge", "owned_job_bytes",
+                      instance_stats.owned_job_bytes);
     detail::add_value(out, "counter", "store_calls_total",
                       instance_stats.store_calls);
     detail::add_value(out, "counter", "log_lines_dropped_total",
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -102,6 +102,11 @@
       "means 16 KiB for each connection, and a quarter of the memory at most. "
       "At least one request of the largest size always fits."},
      &settings::open_request_budget_bytes},
+    {{"callers.job_memory_bytes", integer_rule{0, mebibyte* mebibyte, 0},
+      "Memory for the decoded jobs of this instance's callers, and the same "
+      "amount for all jobs of an owner; further jobs are rejected. 0 means an "
+      "eighth of the memory, and 256 MiB at most. One job always fits."},
+     &settings::job_memory_bytes},
     {{"callers.request_timeout_ms",
       integer_rule{100, 10 * minute_ms, 15 * second_ms},
       "Time from the first byte of a request until it is complete."},
--- a/src/app/server_limits.cpp
+++ b/src/app/server_limits.cpp
@@ -14,6 +14,9 @@
 /// The remaining memory holds jobs, messages, and the state of connections.
 constexpr std::uint64_t budget_divisor = 4;
 
+constexpr std::uint64_t job_memory_divisor = 8;
+constexpr std::uint64_t max_default_job_memory = 256 * bytes_per_mb;
+
 /// Headers of 16 KiB, and input that is read together with the end of a body.
 constexpr std::uint64_t request_overhead_bytes = 64 * kibibyte;
 
@@ -56,6 +59,13 @@
     return memory_mb == 0 ? resources.memory_bytes : memory_mb * bytes_per_mb;
 }
 
+std::size_t job_memory_limit(std::uint64_t setting, std::uint64_t memory_bytes)
+{
+    return setting == 0 ? std::min(memory_bytes / job_memory_divisor,
+                                   max_default_job_memory)
+                        : setting;
+}
+
 io::http_server_options
 caller_server_options(caller_server_settings const& settings,
                       process_resources const& resources)
--- a/src/core/leasing/group_order.cpp
+++ b/src/core/leasing/group_order.cpp
@@ -38,6 +38,7 @@
 void add_groups(job_record& job)
 {
     auto const& specs = job.job.groups;
+    job.groups.reserve(specs.size());
     for (std::size_t i = 0; i < specs.size(); ++i)
     {
         auto& group = job.groups.emplace_back();
--- a/src/core/leasing/job_gateway.cpp
+++ b/src/core/leasing/job_gateway.cpp
@@ -43,6 +43,15 @@
     open.job.origin_domain = own_domain_;
     open.arrived = now;
     open.without_owner_since = now;
+    open.memory_bytes = job_bytes(open.job);
+    bool const has_room = memory_.has_room_for(open.memory_bytes);
+    memory_.add(open.memory_bytes);
+    if (!has_room)
+    {
+        answer(id, job_outcome::rejected, retry_delay({.job = id}),
+               "overloaded", now, out);
+        return;
+    }
     offer_to_owner(open, owners, now, out);
 }
 
@@ -151,6 +160,7 @@
     {
         withdraw(open.owner->instance, found->first, elapsed, now, out);
     }
+    memory_.remove(open.memory_bytes);
     jobs_.erase(found);
 }
 
@@ -398,6 +408,7 @@
 {
     auto const node = jobs_.extract(job);
     auto const& open = node.mapped();
+    memory_.remove(open.memory_bytes);
     if (outcome == job_outcome::rejected && open.resumed)
     {
         outcome = job_outcome::abandoned;
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -87,6 +87,7 @@
     state_.owner = false;
     state_.fenced = false;
     state_.jobs.clear();
+    state_.memory.remove(state_.memory.used());
     state_.retained_verdicts.clear();
     state_.withdrawn.clear();
     state_.done_tasks.clear();
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -109,8 +109,14 @@
         context.out.emplace_back(report_verdict{origin, verdict});
         return;
     }
+    if (reject_without_memory(origin, offered, context))
+    {
+        return;
+    }
     job_record job;
     job.job = offered.job;
+    job.memory_bytes = job_record_bytes(job.job);
+    memory.add(job.memory_bytes);
     job.origin = origin;
     job.sequence = offered.sequence;
     job.due = context.now - offered.elapsed + offered.job.objective;
@@ -156,6 +162,31 @@
     }
 }
 
+// The tasks of a resumed job may have started, so that it cannot be rejected.
+// Runs of it are stopped like those of other unknown jobs.
+bool scheduler_state::reject_without_memory(instance_id origin,
+                                            job_offer const& offered,
+                                            scheduler_context& context) const
+{
+    auto const bytes = job_record_bytes(offered.job);
+    if (offered.resumed ? memory.has_room_for_resumed(bytes)
+                        : memory.has_room_for(bytes))
+    {
+        return false;
+    }
+    auto const id = offered.job.id;
+    auto const outcome =
+        offered.resumed ? job_outcome::abandoned : job_outcome::rejected;
+    auto const wait = retry_delay({.job = id});
+    context.out.emplace_back(
+        report_verdict{origin, {id, outcome, wait, offered.sequence}});
+    scheduler_log_event log_event{.event = "job_ended", .job = id};
+    log_event.reason = "no_memory";
+    log_event.run_time = wait;
+    context.out.emplace_back(log_event);
+    return true;
+}
+
 // --- ends ---
 
 void scheduler_state::end_job(client_job_id id, job_outcome outcome,
@@ -168,6 +199,7 @@
         return;
     }
     auto& job = node.mapped();
+    memory.remove(job.memory_bytes);
     if (outcome == job_outcome::rejected && job.started())
     {
         outcome = job_outcome::abandoned;
