Limit incomplete frames of peers

Seen: 20 connections to the listener for peers that announced frames of 15 MiB and sent 4,000,000 bytes took 80,355,328 bytes (bound 16,777,216).

Cause: a connection that had not identified itself could send a frame of 16 MiB, and nothing bounded the sum of incomplete frames or the number of such connections.

Change: the first frame has at most 4 KiB; at entry instances later ones have 2 MiB, as much as a peer may have unsent. Above a limit for all incomplete frames, the connection with the most is closed. At most 512 accepted connections wait for a hello.

--- a/include/goldcrestgate/io/detail/peer_connection.hpp
+++ b/include/goldcrestgate/io/detail/peer_connection.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestgate/io/address.hpp"
 #include "goldcrestgate/io/event_loop.hpp"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
     /// @param refused whether the address refused the connection
     virtual void on_end(peer_connection& connection, core::error const& cause,
                         bool refused) = 0;
+
+    /// @brief Called after a read that leaves a large part of a frame.
+    virtual void on_partial_frame() = 0;
 };
 
 /// @brief A TCP connection to another entry instance that carries frames.
@@ -41,6 +45,9 @@
 class peer_connection
 {
 public:
+    /// Maximum size of the first frame, which has an address and numbers.
+    static constexpr std::size_t hello_limit_bytes = std::size_t{4} * 1024;
+
     /// @brief Takes ownership of an accepted socket.
     /// @pre @a loop and @a listener outlive the connection
     peer_connection(event_loop& loop, peer_connection_listener& listener,
@@ -67,6 +74,16 @@
         return queued_.size() + writing_.size();
     }
 
+    /// @brief Returns the number of bytes of an incomplete frame; 0 once the
+    /// connection has ended.
+    [[nodiscard]] std::size_t unread_bytes() const;
+
+    /// @brief Sets the size above which a received frame ends the connection.
+    void set_frame_limit(std::size_t limit)
+    {
+        frame_limit_ = limit;
+    }
+
     /// @brief Returns the address of the remote side.
     [[nodiscard]] std::string const& address() const
     {
@@ -102,6 +119,7 @@
     bool connected_ = false;
     bool ended_ = false;
     bool flush_scheduled_ = false;
+    std::size_t frame_limit_ = hello_limit_bytes;
     std::string queued_;
     std::string writing_;
     timer connect_timer_;
--- a/include/goldcrestgate/io/peer_network.hpp
+++ b/include/goldcrestgate/io/peer_network.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestgate/core/result.hpp"
 #include "goldcrestgate/io/address.hpp"
 #include "goldcrestgate/io/event_loop.hpp"
+#include "goldcrestgate/wire/frame_codec.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -29,6 +30,14 @@
     /// Maximum number of unwritten bytes for a peer; the connection is closed
     /// when a peer reads too slowly and the number is exceeded.
     std::size_t write_limit_bytes = std::size_t{64} * 1024 * 1024;
+    /// Maximum size of a received frame; a larger one ends its connection.
+    std::size_t frame_limit_bytes = wire::frame_limit_bytes;
+    /// Maximum number of bytes of all incomplete frames together; above it, the
+    /// connection with the most is closed.
+    std::size_t partial_frame_limit_bytes = std::size_t{64} * 1024 * 1024;
+    /// Maximum number of accepted connections that have not sent a hello; the
+    /// oldest one is closed for a further one.
+    std::size_t unidentified_limit = 512;
 };
 
 /// @brief The connections to other entry instances.
--- a/include/goldcrestgate/wire/frame_codec.hpp
+++ b/include/goldcrestgate/wire/frame_codec.hpp
@@ -49,6 +49,8 @@
 using frame_result = std::variant<frame_incomplete, frame_decoded, core::error>;
 
 /// @brief Decodes the frame at the start of untrusted bytes.
+/// @param limit maximum size of the frame
+/// @pre @a limit is at most @ref frame_limit_bytes
 ///
 /// The header is checked as soon as it is complete, so that a length over the
 /// limit or another protocol version is rejected before the rest arrives. All
@@ -59,6 +61,7 @@
 /// `peer_version_mismatch`, after which the start of the next frame is unknown
 /// @par Thread safety
 /// Safe to call from any thread.
-[[nodiscard]] frame_result read_frame(std::string_view bytes);
+[[nodiscard]] frame_result read_frame(std::string_view bytes,
+                                      std::size_t limit = frame_limit_bytes);
 
 } // namespace goldcrestgate::wire
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -54,8 +54,21 @@
 /// small instance has 120 MB of memory and 40 peers.
 constexpr std::size_t peer_write_limit_bytes = std::size_t{2} * 1024 * 1024;
 
+/// Limits of the memory for incomplete frames of all peers, which is an eighth
+/// of the process.
+constexpr std::uint64_t frame_memory_divisor = 8;
+constexpr std::uint64_t min_frame_memory_bytes = 2 * peer_write_limit_bytes;
+constexpr std::uint64_t max_frame_memory_bytes = 32 * peer_write_limit_bytes;
+
 constexpr double weight_per_core = 1000.0;
 
+std::size_t frame_memory(entry_settings const& settings)
+{
+    return std::clamp(memory_bytes(settings.memory_mb, read_resources()) /
+                          frame_memory_divisor,
+                      min_frame_memory_bytes, max_frame_memory_bytes);
+}
+
 std::size_t job_memory_limit_of(entry_settings const& settings)
 {
     return job_memory_limit(settings.job_memory_bytes,
@@ -148,7 +161,10 @@
           loop, core::hello{self_, settings.peers_address},
           {.connect_timeout = peer_connect_timeout,
            .max_reconnect_delay = max_reconnect_delay,
-           .write_limit_bytes = peer_write_limit_bytes},
+           .write_limit_bytes = peer_write_limit_bytes,
+           // A peer cannot send more at a time.
+           .frame_limit_bytes = peer_write_limit_bytes,
+           .partial_frame_limit_bytes = frame_memory(settings)},
           [this](core::event event)
           {
               on_peer_event(std::move(event));
--- a/src/io/peer_connection.cpp
+++ b/src/io/peer_connection.cpp
@@ -18,6 +18,9 @@
 namespace
 {
 
+/// Smaller parts do not count against the limit of all connections.
+constexpr std::size_t large_part_bytes = std::size_t{64} * 1024;
+
 std::string remote_address(h2o_socket_t* socket)
 {
     sockaddr_storage address{};
@@ -199,8 +202,8 @@
     std::size_t consumed = 0;
     while (!ended_)
     {
-        auto result =
-            wire::read_frame({input->bytes + consumed, input->size - consumed});
+        auto result = wire::read_frame(
+            {input->bytes + consumed, input->size - consumed}, frame_limit_);
         if (auto* const failure = std::get_if<core::error>(&result))
         {
             failure->peer = address_;
@@ -216,6 +219,15 @@
         listener_.on_message(*this, std::move(frame->message));
     }
     h2o_buffer_consume(&input, consumed);
+    if (unread_bytes() >= large_part_bytes)
+    {
+        listener_.on_partial_frame();
+    }
+}
+
+std::size_t peer_connection::unread_bytes() const
+{
+    return ended_ || socket_ == nullptr ? 0 : socket_->input->size;
 }
 
 std::optional<core::error>
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <list>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -70,6 +71,7 @@
                     core::peer_message&& message) override;
     void on_end(peer_connection& connection, core::error const& cause,
                 bool refused) override;
+    void on_partial_frame() override;
 
 private:
     struct connection_entry
@@ -83,6 +85,9 @@
 
     static void on_listener(h2o_socket_t* listener, char const* failure);
 
+    /// Closes the oldest accepted connection without a hello if there are too
+    /// many.
+    void limit_unidentified();
     peer_state& peer_of(core::instance_id id);
     void begin_connect(core::instance_id id);
     void add_connection(std::unique_ptr<peer_connection> connection,
@@ -100,6 +105,8 @@
     h2o_socket_t* listener_ = nullptr;
     std::unordered_map<core::instance_id, std::unique_ptr<peer_state>> peers_;
     std::unordered_map<peer_connection*, connection_entry> connections_;
+    /// Accepted connections without a hello, oldest first.
+    std::list<peer_connection*> unidentified_;
 };
 
 peer_network_state::peer_network_state(event_loop& loop, core::hello self,
@@ -145,9 +152,42 @@
         {
             return;
         }
-        network.add_connection(
-            std::make_unique<peer_connection>(network.loop_, network, socket),
-            std::nullopt);
+        auto connection =
+            std::make_unique<peer_connection>(network.loop_, network, socket);
+        network.unidentified_.push_back(connection.get());
+        network.add_connection(std::move(connection), std::nullopt);
+        network.limit_unidentified();
+    }
+}
+
+void peer_network_state::limit_unidentified()
+{
+    if (unidentified_.size() > options_.unidentified_limit)
+    {
+        auto& oldest = *unidentified_.front();
+        oldest.end({core::error_code::connection_lost, "wait for a hello",
+                    oldest.address(), "too many connections without a hello"});
+    }
+}
+
+void peer_network_state::on_partial_frame()
+{
+    std::size_t total = 0;
+    peer_connection* largest = nullptr;
+    for (auto const& [connection, entry] : connections_)
+    {
+        auto const bytes = connection->unread_bytes();
+        total += bytes;
+        if (largest == nullptr || bytes > largest->unread_bytes())
+        {
+            largest = connection;
+        }
+    }
+    if (total > options_.partial_frame_limit_bytes)
+    {
+        largest->end({core::error_code::connection_lost, "read a frame",
+                      largest->address(),
+                      "incomplete frames of all peers exceed the limit"});
     }
 }
 
@@ -253,6 +293,8 @@
         return;
     }
     entry.hello_timer->cancel();
+    unidentified_.remove(&connection);
+    connection.set_frame_limit(options_.frame_limit_bytes);
     connection.peer = sender;
     auto& peer = peer_of(sender.instance);
     peer.reconnect_delay = options_.initial_reconnect_delay;
@@ -305,6 +347,7 @@
 {
     auto& entry = connections_.at(&connection);
     entry.hello_timer->cancel();
+    unidentified_.remove(&connection);
     bool const is_network_failure =
         cause.code == core::error_code::connection_lost ||
         cause.code == core::error_code::peer_unreachable;
--- a/src/wire/frame_decoder.cpp
+++ b/src/wire/frame_decoder.cpp
@@ -382,7 +382,7 @@
 
 } // namespace
 
-frame_result read_frame(std::string_view bytes)
+frame_result read_frame(std::string_view bytes, std::size_t limit)
 {
     constexpr std::size_t length_bytes = sizeof(std::uint32_t);
     constexpr std::size_t version_bytes = sizeof(std::uint16_t);
@@ -401,7 +401,7 @@
                               std::to_string(protocol_version));
     }
     std::size_t const size = length + length_bytes;
-    if (size > frame_limit_bytes)
+    if (size > limit)
     {
         return make_error(core::error_code::frame_too_large,
                           std::to_string(size) + " bytes");
--- a/tests/unit/peer_network.cpp
+++ b/tests/unit/peer_network.cpp
@@ -1,12 +1,9 @@
 #include "goldcrestgate/io/peer_network.hpp"
+#include "support/free_address.hpp"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <memory>
 #include <string>
 #include <variant>
@@ -17,22 +14,7 @@
 
 using namespace goldcrestgate;
 using namespace std::chrono_literals;
-
-/// Returns a loopback address with a port that was free at the time of the
-/// call.
-io::socket_address free_address()
-{
-    int const temporary_socket = socket(AF_INET, SOCK_STREAM, 0);
-    auto const any = io::socket_address::parse("127.0.0.1:0").value();
-    CPPUNIT_ASSERT(bind(temporary_socket, any.data(), any.size()) == 0);
-    sockaddr_in bound{};
-    socklen_t size = sizeof bound;
-    getsockname(temporary_socket, reinterpret_cast<sockaddr*>(&bound), &size);
-    close(temporary_socket);
-    return io::socket_address::parse("127.0.0.1:" +
-                                     std::to_string(ntohs(bound.sin_port)))
-        .value();
-}
+using goldcrestgate::tests::free_address;
 
 /// An instance with its peer network, which records events and errors.
 struct node
