Limit the responses of executors

Cause: a response to an order or a poll could have 64 MiB, the default of the HTTP client. By reading; no test shows a process that ends by it.

Change: executors.response_limit_bytes, 4 MiB by default. An executor lists some hundred bytes for each run. A larger response counts as lost, as it did above 64 MiB.

Result: covered by the client's own tests of its limit only.

--- a/include/goldcrestgate/app/entry/entry_settings.hpp
+++ b/include/goldcrestgate/app/entry/entry_settings.hpp
@@ -47,6 +47,8 @@
     core::duration stop_time{};
     /// Factor by which a task takes longer outside the rack of its data.
     double remote_rack_factor = 0;
+    /// Largest response of an executor to an order or a poll.
+    std::uint64_t response_limit_bytes = 0;
     /// Largest number of reservations of executor capacity.
     std::uint32_t reservations = 0;
 
--- a/include/goldcrestgate/app/entry/executor_orders.hpp
+++ b/include/goldcrestgate/app/entry/executor_orders.hpp
@@ -28,7 +28,9 @@
 {
 public:
     /// @pre @a loop outlives the object
-    executor_orders(io::event_loop& loop, order_callbacks callbacks);
+    /// @param response_limit_bytes size above which an answer counts as lost
+    executor_orders(io::event_loop& loop, std::size_t response_limit_bytes,
+                    order_callbacks callbacks);
     ~executor_orders();
 
     /// @brief Sets the name of an executor and the address of its orders.
@@ -52,6 +54,7 @@
     void send_order(Order const& order, Callback const& callback);
 
     io::event_loop& loop_;
+    std::size_t response_limit_bytes_;
     order_callbacks callbacks_;
     std::unordered_map<core::executor_id, std::shared_ptr<endpoint>> endpoints_;
 };
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -175,27 +175,28 @@
                   log_line{log_level::warning, "peer_fault"}.failure(failure));
           })
     , executor_orders_(
-          loop, {[this](core::order_answer const& answer)
-                 {
-                     metrics_.count_order_outcome("start", answer.outcome);
-                     std::vector<core::scheduler_action> out;
-                     scheduler_.start_answered(answer, loop_.now(), out);
-                     apply(out);
-                 },
-                 [this](core::order_answer const& answer)
-                 {
-                     metrics_.count_order_outcome("stop", answer.outcome);
-                     std::vector<core::scheduler_action> out;
-                     scheduler_.stop_answered(answer, loop_.now(), out);
-                     apply(out);
-                 },
-                 [this](core::poll_answer const& answer)
-                 {
-                     metrics_.count_order_outcome("hold", answer.outcome);
-                     std::vector<core::scheduler_action> out;
-                     scheduler_.poll_answered(answer, loop_.now(), out);
-                     apply(out);
-                 }})
+          loop, settings.response_limit_bytes,
+          {[this](core::order_answer const& answer)
+           {
+               metrics_.count_order_outcome("start", answer.outcome);
+               std::vector<core::scheduler_action> out;
+               scheduler_.start_answered(answer, loop_.now(), out);
+               apply(out);
+           },
+           [this](core::order_answer const& answer)
+           {
+               metrics_.count_order_outcome("stop", answer.outcome);
+               std::vector<core::scheduler_action> out;
+               scheduler_.stop_answered(answer, loop_.now(), out);
+               apply(out);
+           },
+           [this](core::poll_answer const& answer)
+           {
+               metrics_.count_order_outcome("hold", answer.outcome);
+               std::vector<core::scheduler_action> out;
+               scheduler_.poll_answered(answer, loop_.now(), out);
+               apply(out);
+           }})
     , directory_(
           self_.domain,
           [this](std::string_view name) -> std::optional<core::domain_id>
--- a/src/app/entry/entry_settings.cpp
+++ b/src/app/entry/entry_settings.cpp
@@ -79,6 +79,11 @@
       "Factor by which a task takes longer outside the rack of its data; "
       "given by the platform."},
      &settings::remote_rack_factor},
+    {{"executors.response_limit_bytes",
+      integer_rule{64 * kibibyte, 64 * mebibyte, 4 * mebibyte},
+      "Largest response of an executor; a larger one counts as lost. An "
+      "executor lists some hundred bytes for each run."},
+     &settings::response_limit_bytes},
     {{"scheduling.reservations", integer_rule{0, 64, 0},
       "Largest number of reservations of executor capacity for large waiting "
       "tasks that an owner has at a time; 0: none."},
--- a/src/app/entry/executor_orders.cpp
+++ b/src/app/entry/executor_orders.cpp
@@ -32,8 +32,10 @@
 };
 
 executor_orders::executor_orders(io::event_loop& loop,
+                                 std::size_t response_limit_bytes,
                                  order_callbacks callbacks)
     : loop_(loop)
+    , response_limit_bytes_(response_limit_bytes)
     , callbacks_(std::move(callbacks))
 {
 }
@@ -59,7 +61,8 @@
             io::http_client_options{.max_connections =
                                         max_connections_per_executor,
                                     .connect_timeout = connect_timeout,
-                                    .idle_timeout = idle_timeout});
+                                    .idle_timeout = idle_timeout,
+                                    .max_body_bytes = response_limit_bytes_});
     }
     current = std::move(replacement);
 }
