Tell callers why a request was refused and that it has not run

Seen: callers of an entry instance got {"error":"status 503"} and {"error":"status 408"}.

Cause: the server passed only the status to the function that makes the body, although the limiter knows the reason.

Change: removals have a response of their own. An entry instance answers 503 with Retry-After, the reason and the fate not_run, and 431 for headers over the limit; other refusals have the fate as well. goldcrestgated keeps the statuses of its own interface, 408 included.

Result: failure.refusals fails on ({'error': 'status 408'}) and passes now.

--- a/include/goldcrestgate/io/detail/http_connection.hpp
+++ b/include/goldcrestgate/io/detail/http_connection.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 
@@ -46,10 +47,15 @@
         return error_body ? error_body(status) : std::string{};
     }
 
+    /// @brief Returns the response to a request that is removed.
+    [[nodiscard]] http_response
+    make_removal_response(core::removal_reason reason) const;
+
     event_loop& loop;
     hangup_monitor monitor;
     lingering_sockets lingering;
     http_server::error_body error_body;
+    http_server::removal_response removal_response;
     /// Null without limits for untrusted callers.
     std::unique_ptr<request_limiter> limiter;
     /// Set once the server closes connections after their responses.
@@ -87,10 +93,10 @@
     /// Duplicates the descriptor, so that the request can still be answered
     /// after h2o has closed its own.
     void keep_descriptor();
-    /// Sets the status of the response to a request that is never completed.
-    void set_removal_status(std::uint16_t status)
+    /// Sets why a request is never completed.
+    void set_removal_reason(core::removal_reason reason)
     {
-        removal_status_ = status;
+        removal_reason_ = reason;
     }
 
     static void on_closed(void* data);
@@ -104,7 +110,7 @@
     /// The duplicate, or -1. With limits, it is made only for a connection that
     /// is about to be closed, so that others use one descriptor.
     int descriptor_ = -1;
-    std::uint16_t removal_status_ = 0;
+    std::optional<core::removal_reason> removal_reason_;
     std::size_t bytes_read_ = 0;
     std::size_t bytes_written_ = 0;
     std::weak_ptr<pending_reply> pending_;
--- a/include/goldcrestgate/io/http_server.hpp
+++ b/include/goldcrestgate/io/http_server.hpp
@@ -99,6 +99,15 @@
     /// @brief Sets the body of error responses that are sent without a handler.
     void set_error_body(error_body make_body);
 
+    /// Returns the response to a request that was rejected without its handler,
+    /// or that was not completed.
+    using removal_response = std::function<http_response(core::removal_reason)>;
+
+    /// @brief Sets the responses to requests that @ref
+    /// http_server_options::limits removes. By default they have the status
+    /// 408, 431 or 503 and the body of @ref set_error_body.
+    void set_removal_response(removal_response make_response);
+
     /// @brief Starts listening.
     /// @return an error of code `address_in_use` if the address cannot be used
     core::result<void> listen(socket_address const& address);
--- a/src/app/entry/entry_callers.cpp
+++ b/src/app/entry/entry_callers.cpp
@@ -15,7 +15,9 @@
 constexpr std::uint16_t status_bad_request = 400;
 constexpr std::uint16_t status_not_found = 404;
 constexpr std::uint16_t status_gone = 410;
+constexpr std::uint16_t status_body_too_large = 413;
 constexpr std::uint16_t status_too_many_requests = 429;
+constexpr std::uint16_t status_headers_too_large = 431;
 constexpr std::uint16_t status_unavailable = 503;
 constexpr std::uint16_t status_gateway_timeout = 504;
 
@@ -43,6 +45,43 @@
     return {"retry-after", std::to_string(std::max<std::int64_t>(seconds, 1))};
 }
 
+/// Returns the body of a response to a request that did not become a job.
+std::string refusal_body(std::string_view reason)
+{
+    return R"({"error":")" + std::string{reason} + R"(","fate":"not_run"})";
+}
+
+/// Returns the response to a request of which only a part arrived, or that was
+/// not handled. A status that callers do not expect would not tell them that
+/// the job has not run.
+io::http_response removal_response(core::removal_reason reason)
+{
+    if (reason == core::removal_reason::headers_too_large)
+    {
+        return {status_headers_too_large, refusal_body(to_string(reason))};
+    }
+    return {status_unavailable,
+            refusal_body(to_string(reason)),
+            "application/json",
+            {retry_after(std::chrono::seconds{1})}};
+}
+
+/// Returns the body of an error response of the HTTP server itself.
+std::string server_error_text(std::uint16_t status)
+{
+    switch (status)
+    {
+    case status_bad_request:
+        return refusal_body("malformed_request");
+    case status_not_found:
+        return refusal_body("unknown_method");
+    case status_body_too_large:
+        return refusal_body("body_too_large");
+    default:
+        return R"({"error":"status )" + std::to_string(status) + "\"}";
+    }
+}
+
 /// Parses the job's id, which follows the route's prefix in the path.
 std::optional<core::client_job_id> job_id_of(std::string_view path,
                                              core::job_route const& route)
@@ -81,11 +120,8 @@
     };
     caller_server_.route("GET", "/", query_handler);
     caller_server_.route("DELETE", "/", query_handler);
-    caller_server_.set_error_body(
-        [](std::uint16_t status)
-        {
-            return R"({"error":"status )" + std::to_string(status) + "\"}";
-        });
+    caller_server_.set_error_body(server_error_text);
+    caller_server_.set_removal_response(removal_response);
     readiness_server_.route(
         "GET", std::string{adapter::names::readiness_path},
         [this](io::http_request const&, io::http_reply const& reply)
@@ -139,8 +175,7 @@
                    .text("detail", detail)
                    .number("configuration_version",
                            static_cast<std::int64_t>(routes_.version)));
-    io::http_response response{status,
-                               R"({"error":")" + std::string{reason} + "\"}"};
+    io::http_response response{status, refusal_body(reason)};
     if (status == status_unavailable)
     {
         response.headers.push_back(retry_after(std::chrono::seconds{1}));
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -52,6 +52,34 @@
 namespace
 {
 
+std::uint16_t status_of(core::removal_reason reason)
+{
+    switch (reason)
+    {
+    case core::removal_reason::budget_exhausted:
+    case core::removal_reason::connection_limit:
+        return 503;
+    case core::removal_reason::headers_too_large:
+        return 431;
+    default:
+        return 408;
+    }
+}
+
+std::string format_response(http_response const& response)
+{
+    auto text = "HTTP/1.1 " + std::to_string(response.status) + ' ' +
+                reason_phrase(response.status) + "\r\n";
+    for (auto const& [name, value] : response.headers)
+    {
+        text += name + ": " + value + "\r\n";
+    }
+    return text +
+           "connection: close\r\ncontent-type: " + response.content_type +
+           "\r\ncontent-length: " + std::to_string(response.body.size()) +
+           "\r\n\r\n" + response.body;
+}
+
 /// Returns the number of bytes that the kernel received on a connection. h2o's
 /// own count lacks the bytes that arrive together with the FIN.
 std::size_t received_bytes(int descriptor, bool fin_received)
@@ -67,6 +95,22 @@
 
 } // namespace
 
+http_response
+connection_group::make_removal_response(core::removal_reason reason) const
+{
+    if (removal_response)
+    {
+        return removal_response(reason);
+    }
+    http_response response{status_of(reason)};
+    response.body = make_error_body(response.status);
+    if (response.status == 503)
+    {
+        response.headers.emplace_back("retry-after", "1");
+    }
+    return response;
+}
+
 http_connection::http_connection(connection_group& group, h2o_socket_t* socket)
     : group_(group)
     , socket_(socket)
@@ -182,7 +226,7 @@
 {
     bool const closed_by_caller = hung_up();
     bool const incomplete =
-        removal_status_ != 0 ||
+        removal_reason_ ||
         received_bytes(descriptor_, closed_by_caller) > bytes_read_;
     if (incomplete)
     {
@@ -201,20 +245,16 @@
 void http_connection::answer_incomplete_request(bool hung_up) const
 {
     // `100 Continue` may have been written for a request that is removed.
-    if (removal_status_ == 0 && socket_->bytes_written > bytes_written_)
+    if (!removal_reason_ && socket_->bytes_written > bytes_written_)
     {
         return;
     }
     std::uint16_t const incomplete_status = hung_up ? 400 : 408;
-    auto const status =
-        removal_status_ == 0 ? incomplete_status : removal_status_;
-    std::string const body = group_.make_error_body(status);
-    std::string const response =
-        "HTTP/1.1 " + std::to_string(status) + " " + reason_phrase(status) +
-        (status == 503 ? "\r\nretry-after: 1" : "") +
-        "\r\nconnection: close\r\ncontent-type: application/json"
-        "\r\ncontent-length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body;
+    auto const response = format_response(
+        removal_reason_
+            ? group_.make_removal_response(*removal_reason_)
+            : http_response{incomplete_status,
+                            group_.make_error_body(incomplete_status)});
     // Sent without blocking: if the socket's buffer is full, the response is
     // dropped.
     send(descriptor_, response.data(), response.size(),
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -320,10 +320,8 @@
     if (!is_admitted)
     {
         source->http1_is_persistent = 0;
-        reply.send({503,
-                    server.group.make_error_body(503),
-                    "application/json",
-                    {{"retry-after", "1"}}});
+        reply.send(server.group.make_removal_response(
+            core::removal_reason::budget_exhausted));
         return 0;
     }
     if (route == nullptr)
@@ -477,6 +475,11 @@
     state_->group.error_body = std::move(make_body);
 }
 
+void http_server::set_removal_response(removal_response make_response)
+{
+    state_->group.removal_response = std::move(make_response);
+}
+
 core::result<void> http_server::listen(socket_address const& address)
 {
     BOOST_LEAF_AUTO(descriptor, open_listener(address));
--- a/src/io/request_limiter.cpp
+++ b/src/io/request_limiter.cpp
@@ -19,20 +19,6 @@
 /// Times of requests are exact to this interval.
 constexpr core::duration check_interval = std::chrono::milliseconds{250};
 
-std::uint16_t status_of(core::removal_reason reason)
-{
-    switch (reason)
-    {
-    case core::removal_reason::budget_exhausted:
-    case core::removal_reason::connection_limit:
-        return 503;
-    case core::removal_reason::headers_too_large:
-        return 431;
-    default:
-        return 408;
-    }
-}
-
 } // namespace
 
 request_limiter::request_limiter(event_loop& loop,
@@ -289,7 +275,7 @@
     if (state_->phase != core::request_budget::phase::idle)
     {
         connection_.keep_descriptor();
-        connection_.set_removal_status(status_of(reason));
+        connection_.set_removal_reason(reason);
     }
     h2o_read_(socket_, "removed");
     return true;
