--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -7,6 +7,7 @@
 #include "goldcrestgate/app/entry/executor_orders.hpp"
 #include "goldcrestgate/app/entry/topic_watch.hpp"
 #include "goldcrestgate/app/memory_release.hpp"
+#include "goldcrestgate/app/process_resources.hpp"
 #include "goldcrestgate/app/request_removals.hpp"
 #include "goldcrestgate/core/events.hpp"
 #include "goldcrestgate/core/leasing/configuration_exchange.hpp"
@@ -149,6 +150,7 @@
     io::event_loop& loop_;
     entry_settings const& settings_;
     logger& log_;
+    process_resources resources_;
     entry_metrics metrics_;
     std::map<std::string, core::domain_id, std::less<>> domains_;
     core::instance_key self_;
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -55,27 +55,30 @@
 constexpr std::size_t peer_write_limit_bytes = std::size_t{2} * 1024 * 1024;
 
 /// Limits of the memory for incomplete frames of all peers, which is an eighth
-/// of the process.
+/// of that of the process.
 constexpr std::uint64_t frame_memory_divisor = 8;
 constexpr std::uint64_t min_frame_memory_bytes = 2 * peer_write_limit_bytes;
 constexpr std::uint64_t max_frame_memory_bytes = 32 * peer_write_limit_bytes;
 
 constexpr double weight_per_core = 1000.0;
 
-std::size_t frame_memory(entry_settings const& settings)
+std::size_t frame_memory(entry_settings const& settings,
+                         process_resources const& resources)
 {
-    return std::clamp(memory_bytes(settings.memory_mb, read_resources()) /
+    return std::clamp(memory_bytes(settings.memory_mb, resources) /
                           frame_memory_divisor,
                       min_frame_memory_bytes, max_frame_memory_bytes);
 }
 
-std::size_t job_memory_limit_of(entry_settings const& settings)
+std::size_t job_memory_limit_of(entry_settings const& settings,
+                                process_resources const& resources)
 {
     return job_memory_limit(settings.job_memory_bytes,
-                            memory_bytes(settings.memory_mb, read_resources()));
+                            memory_bytes(settings.memory_mb, resources));
 }
 
-io::http_server_options caller_options(entry_settings const& settings)
+io::http_server_options caller_options(entry_settings const& settings,
+                                       process_resources const& resources)
 {
     core::request_limits times;
     times.request_timeout = settings.request_timeout;
@@ -87,7 +90,7 @@
          .connection_limit = settings.caller_connection_limit,
          .open_request_budget_bytes = settings.open_request_budget_bytes,
          .times = times},
-        read_resources());
+        resources);
 }
 
 std::map<std::string, core::domain_id, std::less<>>
@@ -137,6 +140,7 @@
     : loop_(loop)
     , settings_(settings)
     , log_(log)
+    , resources_(read_resources())
     , domains_(number_domains(settings.failure_domains))
     , self_(make_instance_key(settings, domains_))
     , configuration_exchange_(self_.instance, loop.now())
@@ -145,13 +149,13 @@
           static_cast<std::uint32_t>(settings.cpu_share * weight_per_core),
           loop.now())
     , gateway_(self_.domain, self_.incarnation.value(), self_.instance,
-               core::job_memory{job_memory_limit_of(settings)})
+               core::job_memory{job_memory_limit_of(settings, resources_)})
     , scheduler_({settings.longest_lease, settings.stop_time,
                   settings.resubmission_delay, settings.remote_rack_factor,
                   settings.class_weight_ratio, settings.fair_shares,
                   settings.preemption, settings.reservations,
-                  job_memory_limit_of(settings)})
-    , caller_server_(loop, caller_options(settings))
+                  job_memory_limit_of(settings, resources_)})
+    , caller_server_(loop, caller_options(settings, resources_))
     , request_removals_(loop, caller_server_, log)
     , readiness_server_(
           loop, monitoring_server_options(settings.monitoring_connection_limit))
@@ -164,7 +168,7 @@
            .write_limit_bytes = peer_write_limit_bytes,
            // A peer cannot send more at a time.
            .frame_limit_bytes = peer_write_limit_bytes,
-           .partial_frame_limit_bytes = frame_memory(settings)},
+           .partial_frame_limit_bytes = frame_memory(settings, resources_)},
           [this](core::event event)
           {
               on_peer_event(std::move(event));
@@ -283,14 +287,14 @@
         detail::checked_address(settings_.metrics_address)));
     BOOST_LEAF_CHECK(
         peer_network_.listen(detail::checked_address(settings_.peers_address)));
-    log_.write(
-        log_line{log_level::info, "started"}
-            .text("instance", settings_.name)
-            .text("failure_domain", settings_.failure_domain)
-            .text("peers_address", settings_.peers_address)
-            .number("open_request_budget_bytes",
-                    static_cast<std::int64_t>(
-                        caller_options(settings_).limits->budget_bytes)));
+    log_.write(log_line{log_level::info, "started"}
+                   .text("instance", settings_.name)
+                   .text("failure_domain", settings_.failure_domain)
+                   .text("peers_address", settings_.peers_address)
+                   .number("open_request_budget_bytes",
+                           static_cast<std::int64_t>(
+                               caller_options(settings_, resources_)
+                                   .limits->budget_bytes)));
     loop_.on_stall(core::pause_limit,
                    [this](core::duration lateness)
                    {
