--- a/src/app/process_resources.cpp
+++ b/src/app/process_resources.cpp
@@ -32,6 +32,18 @@
     return part;
 }
 
+bool has_controller(std::string_view controllers, std::string_view name)
+{
+    while (!controllers.empty())
+    {
+        if (take_until(controllers, ',') == name)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 namespace detail
@@ -48,10 +60,8 @@
         take_until(line, ':');
         auto const controllers = take_until(line, ':');
         bool const is_version_2 = controllers.empty();
-        bool const has_memory =
-            (',' + std::string{controllers} + ',').find(",memory,") !=
-            std::string::npos;
-        if (!line.starts_with('/') || (!is_version_2 && !has_memory))
+        if (!line.starts_with('/') ||
+            (!is_version_2 && !has_controller(controllers, "memory")))
         {
             continue;
         }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -68,16 +68,17 @@
 
 std::string format_response(http_response const& response)
 {
-    auto text = "HTTP/1.1 " + std::to_string(response.status) + ' ' +
-                reason_phrase(response.status) + "\r\n";
+    std::string text;
+    text.append("HTTP/1.1 ").append(std::to_string(response.status));
+    text.append(" ").append(reason_phrase(response.status)).append("\r\n");
     for (auto const& [name, value] : response.headers)
     {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
-    return text +
-           "connection: close\r\ncontent-type: " + response.content_type +
-           "\r\ncontent-length: " + std::to_string(response.body.size()) +
-           "\r\n\r\n" + response.body;
+    text.append("connection: close\r\ncontent-type: ");
+    text.append(response.content_type).append("\r\ncontent-length: ");
+    text.append(std::to_string(response.body.size())).append("\r\n\r\n");
+    return text.append(response.body);
 }
 
 /// Returns the number of bytes that the kernel received on a connection. h2o's
--- a/tests/unit/request_turns.cpp
+++ b/tests/unit/request_turns.cpp
@@ -156,8 +156,10 @@
                   {
                       ++handled;
                   });
+        constexpr std::size_t clients = 40;
         std::vector<int> descriptors;
-        for (int i = 0; i < 40; ++i)
+        descriptors.reserve(clients);
+        for (std::size_t i = 0; i < clients; ++i)
         {
             descriptors.push_back(send_request(server, "hello"));
         }
@@ -223,6 +225,7 @@
                       counter.count();
                   });
         std::vector<int> descriptors;
+        descriptors.reserve(clients);
         for (std::size_t i = 0; i < clients; ++i)
         {
             descriptors.push_back(send_request(server, body));
