--- a/src/app/process_resources.cpp
+++ b/src/app/process_resources.cpp
@@ -72,8 +72,9 @@
         auto path = line;
         while (!path.empty())
         {
-            files.push_back(root + (path == "/" ? "" : std::string{path}) +
-                            name);
+            auto& file = files.emplace_back(root);
+            file += path == "/" ? std::string_view{} : path;
+            file += name;
             path =
                 path == "/"
                     ? std::string_view{}
