Map large buffers separately, so that outgrown ones return to the system

Input buffers double as a body arrives. glibc maps the first large ones separately, but raises its threshold as soon as one is freed; after that, outgrown buffers stay in the heap between those of other requests, where no larger one fits, and the unused half of a reused buffer is resident.

Crowds and bounds are unchanged.

--- a/include/goldcrestgate/app/memory_release.hpp
+++ b/include/goldcrestgate/app/memory_release.hpp
@@ -9,6 +9,17 @@
 namespace goldcrestgate::app
 {
 
+/// @brief Makes the allocator map each buffer of at least 64 KiB separately
+/// from now on, so that it returns to the system when it is freed.
+///
+/// The allocator's own threshold rises with the buffers that are freed. Above
+/// it, the outgrown buffers of a growing request stay between the buffers of
+/// others, where no larger buffer fits.
+///
+/// @par Thread safety
+/// Not safe; to be called before other threads are started.
+void map_large_buffers();
+
 /// @brief Returns freed memory to the system after a peak of use.
 ///
 /// The allocator keeps the pages of buffers that were freed between others, so
--- a/programs/daemon_program.hpp
+++ b/programs/daemon_program.hpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/app/crash_report.hpp"
 #include "goldcrestgate/app/log.hpp"
+#include "goldcrestgate/app/memory_release.hpp"
 #include "goldcrestgate/app/version.hpp"
 #include "goldcrestgate/core/result.hpp"
 #include "goldcrestgate/io/event_loop.hpp"
@@ -104,6 +105,7 @@
     {
         std::signal(SIGPIPE, SIG_IGN);
         app::install_crash_report();
+        app::map_large_buffers();
         Daemon::handle_signals();
         io::event_loop loop;
         typename Daemon::instance* running_daemon = nullptr;
--- a/src/app/memory_release.cpp
+++ b/src/app/memory_release.cpp
@@ -17,8 +17,17 @@
 /// A release takes up to some milliseconds.
 constexpr core::duration min_release_interval = std::chrono::seconds{1};
 
+/// Above the messages and requests of normal load, as each mapping takes
+/// system calls and page faults.
+constexpr int mapped_buffer_bytes = 64 * 1024;
+
 } // namespace
 
+void map_large_buffers()
+{
+    mallopt(M_MMAP_THRESHOLD, mapped_buffer_bytes);
+}
+
 memory_release::memory_release()
     : memory_release(
           []
