Limit the duplicates of descriptors of rejected requests

With limits, a connection gets a second descriptor when its last response begins. h2o closes its own only after the other connections of the iteration have been read (strace: 30 duplicates between two closes). Requests that arrive while the process has no processor time are all rejected in one iteration, so that each connection has two descriptors at that moment. At the limit of 2,012 caller connections, that is more than the 3,075 that a process may have, and its connections to executors and peers fail.

Change: a connection reserves a place among the lingering sockets before its descriptor is duplicated. Without a free place, the socket that has lingered longest is closed; without any, the connection is closed without lingering.

Evidence: failure.simultaneous_rejections sends requests with too large a body while the process is paused.

--- a/include/goldcrestgate/io/detail/http_connection.hpp
+++ b/include/goldcrestgate/io/detail/http_connection.hpp
@@ -110,6 +110,8 @@
     /// The duplicate, or -1. With limits, it is made only for a connection that
     /// is about to be closed, so that others use one descriptor.
     int descriptor_ = -1;
+    /// Whether the duplicate has a reserved place among the lingering sockets.
+    bool has_place_ = false;
     std::optional<core::removal_reason> removal_reason_;
     std::size_t bytes_read_ = 0;
     std::size_t bytes_written_ = 0;
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -129,6 +129,10 @@
 http_connection::~http_connection()
 {
     group_.connections.erase(this);
+    if (has_place_)
+    {
+        group_.lingering.release();
+    }
     // The kernel has stopped watching a descriptor without a duplicate when
     // h2o closed it.
     if (descriptor_ != -1)
@@ -198,9 +202,12 @@
         return;
     }
     input_->answer();
-    // The caller may still be sending when h2o closes the connection.
-    if (!is_persistent || group_.closing)
+    // The caller may still be sending when h2o closes the connection, which
+    // can be after the other connections of this iteration have been read.
+    bool const is_last = !is_persistent || group_.closing;
+    if (is_last && !has_place_ && group_.lingering.reserve())
     {
+        has_place_ = true;
         keep_descriptor();
     }
 }
--- a/src/io/lingering_sockets.cpp
+++ b/src/io/lingering_sockets.cpp
@@ -3,6 +3,7 @@
 #include <h2o.h>
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace goldcrestgate::io::detail
 {
@@ -29,11 +30,37 @@
     }
 }
 
+/// Closes the descriptor that has lingered longest if there is no free place.
+bool lingering_sockets::make_room()
+{
+    if (sockets_.size() + reserved_ < limit_)
+    {
+        return true;
+    }
+    if (sockets_.empty())
+    {
+        return false;
+    }
+    finish(order_.front());
+    return true;
+}
+
+bool lingering_sockets::reserve()
+{
+    bool const has_room = make_room();
+    if (has_room)
+    {
+        ++reserved_;
+    }
+    return has_room;
+}
+
 void lingering_sockets::close(int descriptor)
 {
-    if (sockets_.size() >= limit_)
+    if (!make_room())
     {
-        finish(order_.front());
+        ::close(descriptor);
+        return;
     }
     shutdown(descriptor, SHUT_WR);
     auto* const socket =
