Move the limits that follow from the settings of an entry instance to a file

Change: entry_limits.hpp returns the limits of the server for callers, of jobs and of incomplete frames; same values.

--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestgate/app/detail/checked_address.hpp"
 #include "goldcrestgate/app/detail/new_incarnation.hpp"
+#include "goldcrestgate/app/entry/entry_limits.hpp"
 #include "goldcrestgate/app/server_limits.hpp"
 #include "goldcrestgate/core/settings/text_list.hpp"
 
@@ -50,49 +51,8 @@
 constexpr core::duration peer_connect_timeout = std::chrono::milliseconds{400};
 constexpr core::duration max_reconnect_delay = std::chrono::milliseconds{800};
 
-/// Largest send queue of a peer, enough for several large configurations. A
-/// small instance has 120 MB of memory and 40 peers.
-constexpr std::size_t peer_write_limit_bytes = std::size_t{2} * 1024 * 1024;
-
-/// Limits of the memory for incomplete frames of all peers, which is an eighth
-/// of that of the process.
-constexpr std::uint64_t frame_memory_divisor = 8;
-constexpr std::uint64_t min_frame_memory_bytes = 2 * peer_write_limit_bytes;
-constexpr std::uint64_t max_frame_memory_bytes = 32 * peer_write_limit_bytes;
-
 constexpr double weight_per_core = 1000.0;
 
-std::size_t frame_memory(entry_settings const& settings,
-                         process_resources const& resources)
-{
-    return std::clamp(memory_bytes(settings.memory_mb, resources) /
-                          frame_memory_divisor,
-                      min_frame_memory_bytes, max_frame_memory_bytes);
-}
-
-std::size_t job_memory_limit_of(entry_settings const& settings,
-                                process_resources const& resources)
-{
-    return job_memory_limit(settings.job_memory_bytes,
-                            memory_bytes(settings.memory_mb, resources));
-}
-
-io::http_server_options caller_options(entry_settings const& settings,
-                                       process_resources const& resources)
-{
-    core::request_limits times;
-    times.request_timeout = settings.request_timeout;
-    times.response_timeout = settings.request_timeout;
-    times.least_body_rate_bytes_per_s = settings.least_body_rate_bytes_per_s;
-    return caller_server_options(
-        {.memory_mb = settings.memory_mb,
-         .body_limit_bytes = settings.body_limit_bytes,
-         .connection_limit = settings.caller_connection_limit,
-         .open_request_budget_bytes = settings.open_request_budget_bytes,
-         .times = times},
-        resources);
-}
-
 std::map<std::string, core::domain_id, std::less<>>
 number_domains(std::string_view names)
 {
@@ -149,13 +109,13 @@
           static_cast<std::uint32_t>(settings.cpu_share * weight_per_core),
           loop.now())
     , gateway_(self_.domain, self_.incarnation.value(), self_.instance,
-               core::job_memory{job_memory_limit_of(settings, resources_)})
+               core::job_memory{job_memory_limit(settings, resources_)})
     , scheduler_({settings.longest_lease, settings.stop_time,
                   settings.resubmission_delay, settings.remote_rack_factor,
                   settings.class_weight_ratio, settings.fair_shares,
                   settings.preemption, settings.reservations,
-                  job_memory_limit_of(settings, resources_)})
-    , caller_server_(loop, caller_options(settings, resources_))
+                  job_memory_limit(settings, resources_)})
+    , caller_server_(loop, caller_server_options(settings, resources_))
     , request_removals_(loop, caller_server_, log)
     , readiness_server_(
           loop, monitoring_server_options(settings.monitoring_connection_limit))
@@ -168,7 +128,8 @@
            .write_limit_bytes = peer_write_limit_bytes,
            // A peer cannot send more at a time.
            .frame_limit_bytes = peer_write_limit_bytes,
-           .partial_frame_limit_bytes = frame_memory(settings, resources_)},
+           .partial_frame_limit_bytes =
+               partial_frame_limit(settings, resources_)},
           [this](core::event event)
           {
               on_peer_event(std::move(event));
@@ -293,7 +254,7 @@
                    .text("peers_address", settings_.peers_address)
                    .number("open_request_budget_bytes",
                            static_cast<std::int64_t>(
-                               caller_options(settings_, resources_)
+                               caller_server_options(settings_, resources_)
                                    .limits->budget_bytes)));
     loop_.on_stall(core::pause_limit,
                    [this](core::duration lateness)
