Use the connection limit of the tests of load once

Cause: harness/monitoring_load.py named the limit of 64 connections that harness/request_load.py already had.

Change: it uses that one; the value and the bounds are the same.

--- a/tests/failure/harness/monitoring_load.py
+++ b/tests/failure/harness/monitoring_load.py
@@ -2,9 +2,8 @@
 reads, and which expects no bodies."""
 
 from . import http_json, request_load
-from .request_load import LoadedInstance, try_send
+from .request_load import CONNECTION_LIMIT, LoadedInstance, try_send
 
-CONNECTION_LIMIT = 64
 DESCRIPTOR_BOUND = request_load.OTHER_DESCRIPTORS + CONNECTION_LIMIT
 MEMORY_BOUND = request_load.OVERHEAD_BYTES
 
