--- a/review/stand-3/platform_stand.py
+++ b/review/stand-3/platform_stand.py
@@ -890,9 +890,14 @@
             print("kept", self.folder)
 
 
+# Python itself exits with 1 after an exception, so that run.sh translates this.
+RULE_BROKEN = 10
+
+
 def run_case(case, folder):
-    """Runs `case(platform_folder, trouble)`, which returns the broken rule as
-    a text or None, and exits as the issue asks."""
+    """Runs `case(folder, trouble)`, which returns the broken rule as a text or
+    None, and ends the process with RULE_BROKEN, 0, or 2 if it could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken = case(folder, trouble)
@@ -900,4 +905,4 @@
         print("could not run:", failure)
         sys.exit(2)
     print(broken or "held")
-    sys.exit(1 if broken else 0)
+    sys.exit(RULE_BROKEN if broken else 0)
