--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
-"""A caller cancels its job while the job runs, and the cancelling is
-acknowledged. No task of it may start later than cancel_ms after that, and none
-may run on stop_timeout_ms later."""
+"""A zone is cut off for 2.75 s. Jobs that an instance of the other zone has
+offered to the owner across the cut are answered with 504 and sent again by
+their callers. When the cut heals, the held-up offers arrive, and the owner
+starts tasks that run elsewhere by then."""
 
 import os
 import sys
@@ -9,58 +10,84 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand-3"))
-from platform_stand import BOUNDS, Platform, run_case  # noqa: E402
+from platform_stand import CannotRun, Platform, run_case  # noqa: E402
 
-JOB = "5c0e7a21d94b36f8"
-STEPS = 7
-WORK_S = 1.0
-DEADLINE_MS = 12000
+CUT_S = 2.75
+DEADLINE_MS = 1500
+WORK_S = 0.9
+# A round in which the rule was broken is the last one.
+ROUNDS = 3
 
 
 def job_body():
-    phases = [{"count": 2, "cpu": 27000, "mem_mb": 64, "estimated_ms": 1000}
-              for _ in range(STEPS)]
-    for step in range(1, STEPS):
-        phases[step]["after"] = [step - 1]
-    return {"task_spec": "batch", "best_effort": True, "phases": phases}
+    """A job like those of the class batch-release."""
+    return {"task_spec": "release", "best_effort": True,
+            "phases": [{"count": 2, "cpu": 27000, "mem_mb": 64,
+                        "estimated_ms": 900}]}
+
+
+def play_round(platform, instances, links, jobs, trouble):
+    other, own_owner = instances
+    platform.wait_for_heartbeat(other, "north")
+    if trouble:
+        for link in links:
+            link.cut()
+        platform.record.write("the zones are cut off from each other")
+    cut_at = time.monotonic()
+    # Many users come at once in the south.
+    threads = [threading.Thread(
+        target=platform.post,
+        args=(own_owner, f"f{number:03x}{jobs[0][4:]}", job_body(),
+              DEADLINE_MS))
+        for number in range(16)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.15)
+    for job in jobs:
+        threads.append(threading.Thread(
+            target=platform.call_until_answered,
+            args=(other, job, job_body(), DEADLINE_MS)))
+        threads[-1].start()
+        time.sleep(0.03)
+    time.sleep(max(0.0, cut_at + CUT_S - time.monotonic()))
+    if trouble:
+        for link in links:
+            link.heal()
+        platform.record.write("the cut has healed")
+    for thread in threads:
+        thread.join()
+    # The heartbeats to the owner are back to one a second.
+    time.sleep(4)
 
 
 def case(folder, trouble):
-    platform = Platform(folder, work_s=lambda task: WORK_S,
-                        timeout_ms=DEADLINE_MS)
+    platform = Platform(folder, zones=("north", "south"),
+                        work_s=lambda task: WORK_S, timeout_ms=DEADLINE_MS)
     try:
-        for number in range(4):
-            platform.add_executor(f"i-{number}", "north", ["a", "r1-1"])
-        entries = [platform.add_entry("north") for _ in range(2)]
+        for zone, count in (("north", 12), ("south", 4)):
+            for number in range(count):
+                platform.add_executor(f"i-{zone}-{number}", zone,
+                                      ["a", f"r-{zone}"])
+        entries = [platform.add_entry(zone)
+                   for zone in platform.zones for _ in range(2)]
+        platform.add_links()
         platform.start()
-        answers = []
-        caller = threading.Thread(target=lambda: answers.append(
-            platform.post(entries[0], JOB, job_body(), DEADLINE_MS)))
-        caller.start()
-        platform.wait(lambda: platform.runs_of(JOB), 5, "start of the job")
-        time.sleep(0.5)
-        acknowledged_at = None
-        if trouble:
-            answer = platform.call(entries[0], "DELETE",
-                                   platform.prefix + JOB)
-            if answer.status // 100 == 2 or answer.status == 410:
-                acknowledged_at = time.monotonic()
-        caller.join()
-        if not trouble:
-            completed = answers[0] is not None and answers[0].status == 200
-            return None if completed else "the job was not completed"
-        if acknowledged_at is None:
-            return None
-        late = [run for run in platform.runs_of(JOB)
-                if run.began > acknowledged_at + BOUNDS["cancel_ms"] / 1000]
-        for run in late:
-            platform.record.write(
-                f"UNASKED: {run.task} started "
-                f"{run.began - acknowledged_at:.2f} s after the "
-                "acknowledgement of the cancelling")
-        if late:
-            return (f"UNASKED: {len(late)} tasks started later than cancel_ms "
-                    "after the cancelling was acknowledged")
+        platform.wait(lambda: all((entry.metric("peer_connections") or 0) >= 3
+                                  for entry in entries), 5, "connections")
+        time.sleep(1.5)
+        north = [entry for entry in entries if entry.zone == "north"]
+        south = [entry for entry in entries if entry.zone == "south"]
+        own_owner = platform.owner("south")
+        other = next(entry for entry in south if entry is not own_owner)
+        links = platform.links_between(north, south)
+        for number in range(ROUNDS):
+            jobs = [f"5c0e7a21d9{number:02x}{job:04x}" for job in range(6)]
+            play_round(platform, (other, own_owner), links, jobs, trouble)
+            if not any(platform.runs_of(job) for job in jobs):
+                raise CannotRun("no job has started")
+            broken = platform.twice(jobs)
+            if broken:
+                return broken
         return None
     finally:
         platform.close()
--- a/review/stand-3/platform_stand.py
+++ b/review/stand-3/platform_stand.py
@@ -273,7 +273,9 @@
         self.open = threading.Event()
         self.open.set()
         self.closed = False
+        # Bytes received from the instance that connects, and from the target.
         self.bytes_sent = 0
+        self.bytes_back = 0
         self.sockets = []
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -345,7 +347,10 @@
             with ready:
                 if data:
                     held.append(data)
-                    self.bytes_sent += len(data) if counts else 0
+                    if counts:
+                        self.bytes_sent += len(data)
+                    else:
+                        self.bytes_back += len(data)
                 state["end"] = end
                 ready.notify()
             if end is not None:
@@ -724,6 +729,24 @@
             self.process.wait()
 
 
+def bytes_between(sender, receiver):
+    """Bytes that an instance has sent to another one, on connections that
+    either of them has opened; needs links."""
+    return (sender.links[receiver.address("control_plane")].bytes_sent +
+            receiver.links[sender.address("control_plane")].bytes_back)
+
+
+def overlaps(runs):
+    """Pairs of runs of one task that were at work at the same time, and for
+    how long."""
+    for number, first in enumerate(runs):
+        for second in runs[number + 1:]:
+            begin = max(first.began, second.began)
+            end = min(first.ended, second.ended)
+            if first.task == second.task and begin < end:
+                yield first, second, end - begin
+
+
 class Answer:
     def __init__(self, status, body, headers):
         self.status = status
@@ -819,12 +842,12 @@
                   len(self.executors), 10, "claimed executors")
 
     @staticmethod
-    def wait(condition, limit_s, what):
+    def wait(condition, limit_s, what, interval_s=0.02):
         until = time.monotonic() + limit_s
         while not condition():
             if time.monotonic() > until:
                 raise CannotRun(f"no {what} within {limit_s} s")
-            time.sleep(0.02)
+            time.sleep(interval_s)
 
     def owner(self, zone):
         for entry in self.entries:
@@ -832,6 +855,21 @@
                 return entry
         raise CannotRun(f"{zone} has no owner")
 
+    def wait_for_heartbeat(self, sender, zone):
+        """Waits until an instance without jobs at the owner of another zone
+        has sent it a heartbeat, and returns the owner. The instance sends one
+        about once a second."""
+        for _ in range(4):
+            owner = self.owner(zone)
+            before = bytes_between(sender, owner)
+            until = time.monotonic() + 2
+            while time.monotonic() < until:
+                if bytes_between(sender, owner) > before:
+                    return owner
+                time.sleep(0.001)
+            # The owner may have changed meanwhile.
+        raise CannotRun("no heartbeat to the owner of another zone")
+
     # --- jobs ---
 
     def spec_of(self, task):
@@ -850,6 +888,29 @@
             return [run for run in self.starts
                     if run.task.startswith(job_id + ".")]
 
+    def call_until_answered(self, entry, job_id, body, deadline_ms):
+        """Submits a job, and again after 502, 504 or no answer."""
+        for _ in range(2):
+            answer = self.post(entry, job_id, body, deadline_ms)
+            if answer is not None and answer.status not in (502, 504):
+                return
+            time.sleep(BOUNDS["resend_ms"] / 1000)
+
+    def twice(self, job_ids):
+        """The broken rule as a text, or None; records each pair of runs."""
+        if any(run.ended is None for run in self.starts):
+            raise CannotRun("a run has not ended")
+        found = [pair for job_id in job_ids
+                 for pair in overlaps(self.runs_of(job_id))]
+        for first, second, length in found:
+            self.record.write(
+                f"TWICE: {first.task} ran on {first.executor.name} and on "
+                f"{second.executor.name} at the same time for "
+                f"{1000 * length:.0f} ms")
+        tasks = {first.task for first, _, _ in found}
+        return (f"TWICE: {len(tasks)} tasks had two runs at the same time"
+                if tasks else None)
+
     def post(self, entry, job_id, body, deadline_ms, timeout_s=None):
         """Submits a job and returns the answer, or None without one."""
         self.jobs[job_id] = body
