--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -223,9 +223,9 @@
     /// Pools by service; services without a usable executor are missing.
     [[nodiscard]] std::map<std::string_view, executor_pool>
     executor_pools(time_point now) const;
-    static void log_placement(job_record const& job, leased_task const& task,
-                              placement_choice const& choice,
-                              scheduler_context& context);
+    void log_placement(job_record const& job, leased_task const& task,
+                       placement_choice const& choice,
+                       scheduler_context& context) const;
     /// Expected run time of a task of the group on the executor, divided by its
     /// estimate.
     [[nodiscard]] double expected_slowdown(executor_record const& executor,
--- a/include/goldcrestgate/core/leasing/scheduler_actions.hpp
+++ b/include/goldcrestgate/core/leasing/scheduler_actions.hpp
@@ -102,6 +102,9 @@
     std::optional<late_run> late{};
     /// Set if the event is a possible crash.
     std::optional<crash_evidence> crash{};
+    /// Time since the caller of the job was last known to wait, if the event
+    /// depends on it.
+    std::optional<duration> caller_age{};
 };
 
 /// Action that a scheduler requests.
--- a/src/app/entry/entry_log.cpp
+++ b/src/app/entry/entry_log.cpp
@@ -113,6 +113,10 @@
     {
         add_crash(line, *log_event.crash);
     }
+    if (log_event.caller_age)
+    {
+        line.number("caller_age_ms", to_ms(*log_event.caller_age));
+    }
     return line.number("slack_ms", to_ms(log_event.slack))
         .number("run_ms", to_ms(log_event.run_time))
         .number("count", static_cast<std::int64_t>(log_event.count))
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -366,7 +366,7 @@
 void scheduler_state::log_placement(job_record const& job,
                                     leased_task const& task,
                                     placement_choice const& choice,
-                                    scheduler_context& context)
+                                    scheduler_context& context) const
 {
     auto const& record = job.groups[task.group].tasks[task.index];
     scheduler_log_event log_event{.event = "task_placed",
@@ -380,6 +380,7 @@
     log_event.slack = job.due - context.now;
     log_event.run_time = choice.expected_run;
     log_event.count = choice.candidates;
+    log_event.caller_age = context.now - last_heard(job.origin, context.now);
     context.out.emplace_back(log_event);
 }
 
