Start tasks only while their callers are known to wait

Cause: an owner limited the leases that it grants by the time at which a caller was last known to wait, but did not ask for it when it placed a task. start_lease_end took the later one of that limit and of the lease that the executor already had from other runs, so that a task could start at any time on an executor with a longer lease, and live as long as that one.

Change: caller_bounds holds the rule. Placement, adoption and each grant of a lease ask it; a job whose caller may be back ends as caller_unknown.

Why this works: a run ends with the lease of its executor at the latest.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -72,8 +72,8 @@
 {
     /// Time at which the job's runs are stopped.
     time_point at{};
-    /// Time until which leases may keep the job's runs alive.
-    time_point lease_limit{};
+    /// Time at which the caller was last known to wait.
+    time_point waiting_at{};
     /// Whether the only cause is that the job's instance seems lost.
     bool origin_lost = false;
 };
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestgate/core/leasing/admission.hpp"
+#include "goldcrestgate/core/leasing/caller_bounds.hpp"
 #include "goldcrestgate/core/leasing/crash_ledger.hpp"
 #include "goldcrestgate/core/leasing/detail/executor_record.hpp"
 #include "goldcrestgate/core/leasing/detail/job_record.hpp"
@@ -138,11 +139,13 @@
 public:
     explicit scheduler_state(scheduler_limits given)
         : limits(given)
+        , callers(given.resubmission_delay, given.stop_time)
         , memory(given.job_memory_bytes)
     {
     }
 
     scheduler_limits limits;
+    caller_bounds callers;
     bool owner = false;
     /// Whether no executor gets new tasks, as their failure domain is being
     /// evacuated.
@@ -196,6 +199,9 @@
     [[nodiscard]] bool reject_without_memory(instance_id origin,
                                              job_offer const& offered,
                                              scheduler_context& context) const;
+    /// Whether tasks of the job wait and some executor may start them.
+    [[nodiscard]] bool may_start_tasks(job_record const& job,
+                                       time_point now) const;
     void place_waiting(scheduler_context& context);
     /// Places suspect tasks on executors without runs. An executor that is to
     /// run one next is removed from the pool.
@@ -596,10 +602,9 @@
     /// it has sent none.
     [[nodiscard]] time_point last_heard(instance_id instance,
                                         time_point now) const;
-    /// Time until which a lease may keep runs alive whose caller was last known
-    /// to wait at a time: they end before the caller may submit the job again.
-    [[nodiscard]] time_point
-    lease_limit_without_caller(time_point waiting_at) const;
+    /// Time at which the caller of a job was last known to wait;
+    /// `time_point::max()` if no message of its instance has arrived.
+    [[nodiscard]] time_point caller_waiting_at(job_record const& job) const;
     /// End of the lease that a start grants: it does not extend the lease
     /// beyond its limit.
     [[nodiscard]] time_point start_lease_end(executor_record const& executor,
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -270,14 +270,13 @@
     // The runs may still serve a resubmission by the caller, so they continue
     // for some time, but their leases end before it may arrive elsewhere.
     auto const left_at = state_.last_heard(origin, now) - withdrawal.elapsed;
-    detail::job_cancellation withdrawn{
-        left_at + state_.limits.resubmission_delay / 2,
-        state_.lease_limit_without_caller(left_at)};
+    detail::job_cancellation withdrawn{state_.callers.stop_at(left_at),
+                                       left_at};
     if (auto const& earlier = record.cancellation)
     {
         withdrawn.at = std::min(withdrawn.at, earlier->at);
-        withdrawn.lease_limit =
-            std::min(withdrawn.lease_limit, earlier->lease_limit);
+        withdrawn.waiting_at =
+            std::min(withdrawn.waiting_at, earlier->waiting_at);
     }
     record.cancellation = withdrawn;
 }
@@ -286,13 +285,12 @@
 {
     auto const until = now + lost_origin_wait(state_.limits);
     // A new process of the instance does not have the callers.
-    auto const lease_limit =
-        state_.lease_limit_without_caller(state_.last_heard(origin, now));
+    auto const waiting_at = state_.last_heard(origin, now);
     for (auto& [id, job] : state_.jobs)
     {
         if (job.origin == origin && !job.cancellation)
         {
-            job.cancellation = {until, lease_limit, true};
+            job.cancellation = {until, waiting_at, true};
         }
     }
 }
--- a/src/core/leasing/scheduler_inheritance.cpp
+++ b/src/core/leasing/scheduler_inheritance.cpp
@@ -233,6 +233,11 @@
                                   .executor = executor.id};
     log_event.slack = job.due - context.now;
     context.out.emplace_back(log_event);
+    if (executor.granted_until > callers.lease_end(caller_waiting_at(job)))
+    {
+        // It could go on when the caller submits the job again.
+        request_stop(executor, run, context);
+    }
 }
 
 bool scheduler_state::is_orphaned(executor_record const& executor,
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -423,6 +423,10 @@
         {
             ended.emplace_back(id, "caller_left");
         }
+        else if (callers.resubmission_at(caller_waiting_at(job)) <= context.now)
+        {
+            ended.emplace_back(id, "caller_unknown");
+        }
         else if (context.now >= job.deadline)
         {
             ended.emplace_back(id, "time_limit");
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -55,10 +55,14 @@
     return found == heard.end() ? now : std::min(now, found->second);
 }
 
-time_point
-scheduler_state::lease_limit_without_caller(time_point waiting_at) const
+time_point scheduler_state::caller_waiting_at(job_record const& job) const
 {
-    return waiting_at + limits.resubmission_delay - 2 * limits.stop_time;
+    auto const& cancellation = job.cancellation;
+    auto const waiting_at =
+        cancellation ? cancellation->waiting_at : time_point::max();
+    auto const origin = heard.find(job.origin);
+    return origin == heard.end() ? waiting_at
+                                 : std::min(waiting_at, origin->second);
 }
 
 // Whether and since when the caller of an orphan has left is not known. The
@@ -70,17 +74,9 @@
         return time_point::min();
     }
     auto const job = jobs.find(run.run.task.job);
-    if (job == jobs.end())
-    {
-        return time_point::max();
-    }
-    auto const& cancellation = job->second.cancellation;
-    auto const limit =
-        cancellation ? cancellation->lease_limit : time_point::max();
-    auto const origin = heard.find(job->second.origin);
-    return origin == heard.end()
-               ? limit
-               : std::min(limit, lease_limit_without_caller(origin->second));
+    return job == jobs.end()
+               ? time_point::max()
+               : callers.lease_end(caller_waiting_at(job->second));
 }
 
 time_point scheduler_state::lease_limit(executor_record const& executor,
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestgate/core/leasing/detail/scale_duration.hpp"
 #include "goldcrestgate/core/leasing/detail/scheduler_state.hpp"
+#include "goldcrestgate/core/leasing/detail/start_lease.hpp"
 #include "goldcrestgate/core/leasing/detail/start_limits.hpp"
 #include "goldcrestgate/core/leasing/detail/waiting_work.hpp"
 
@@ -15,9 +16,6 @@
 /// suspect tasks, so that a wave of crashes does not stop the other tasks.
 constexpr std::size_t reserved_divisor = 8;
 
-/// Shortest lease of a start; a shorter one may end before it is renewed.
-constexpr duration min_start_lease = std::chrono::milliseconds{200};
-
 /// Learned speeds are accurate to some percent, and so is a run time that is
 /// projected from progress.
 constexpr run_time_factors known_work_factors{.best_case = 0.9,
@@ -76,13 +74,20 @@
            rack_factor(executor.description, group);
 }
 
+bool scheduler_state::may_start_tasks(job_record const& job,
+                                      time_point now) const
+{
+    return !job.awaits_claims && !job.cancellation && has_waiting(job) &&
+           callers.allow_starts(caller_waiting_at(job), now);
+}
+
 void scheduler_state::place_waiting(scheduler_context& context)
 {
     round = {};
     std::vector<job_record*> waiting;
     for (auto& [id, job] : jobs)
     {
-        if (!job.awaits_claims && !job.cancellation && has_waiting(job))
+        if (may_start_tasks(job, context.now))
         {
             waiting.push_back(&job);
         }
@@ -165,10 +170,12 @@
     {
         return candidates;
     }
+    auto const waiting_at = caller_waiting_at(job);
     for (auto const* const executor : pool.with_capacity)
     {
         auto const free = executor->free_capacity();
         if (!group_spec.each_task.fits_into(free) ||
+            !callers.allow_start(waiting_at, executor->granted_until, now) ||
             executor->would_refuse(group_spec.each_task, now))
         {
             continue;
--- a/src/core/leasing/scheduler_preemption.cpp
+++ b/src/core/leasing/scheduler_preemption.cpp
@@ -66,8 +66,7 @@
     std::vector<job_record*> waiting;
     for (auto& [id, job] : jobs)
     {
-        if (job.job.service == service && !job.awaits_claims &&
-            !job.cancellation && has_waiting(job))
+        if (job.job.service == service && may_start_tasks(job, context.now))
         {
             waiting.push_back(&job);
             flows.push_back(
