Close the connection on which a peer no longer sends

Cause: two instances usually have two connections, and each sends on the one that it established first until that one has ended on its side. What the earlier connection still delivers, such as bytes that a cut held up, was handled after messages of the later one: an offer after the withdrawal of its job, a roster after a newer one of the same term, a heartbeat after a newer one.

Change: once a message of a peer arrives on another connection, the earlier one is closed. The messages of a peer process so act in the order in which it sent them.

unit.peer_network, earlier_connection_ends_once_the_peer_sends_on_another, passes; it checks an event that did not exist before.

--- a/include/goldcrestgate/core/events.hpp
+++ b/include/goldcrestgate/core/events.hpp
@@ -72,6 +72,10 @@
 {
     instance_key from;
     peer_message message;
+    /// Number of the connection, unique among all connections of this process.
+    /// The messages of a peer arrive in the order in which it sent them: once
+    /// it has sent one on another connection, none follows on the earlier one.
+    std::uint64_t connection = 0;
 };
 
 /// @brief A connection to another entry instance is established; both sides
--- a/include/goldcrestgate/io/detail/peer_connection.hpp
+++ b/include/goldcrestgate/io/detail/peer_connection.hpp
@@ -6,6 +6,7 @@
 #include "goldcrestgate/io/event_loop.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -98,6 +99,8 @@
 
     /// The remote instance; empty until its hello has been received.
     std::optional<core::instance_key> peer;
+    /// Number among the identified connections; 0 before the hello.
+    std::uint64_t number = 0;
 
 private:
     static void on_connected(st_h2o_socket_t* socket, char const* failure);
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -45,6 +45,8 @@
     /// The established connections, oldest first; messages are sent on the
     /// first one.
     std::vector<peer_connection*> established;
+    /// The connection on which the peer sends; null before its first message.
+    peer_connection* receiving = nullptr;
     std::optional<core::instance_key> key;
     core::duration reconnect_delay{};
     timer reconnect_timer;
@@ -93,6 +95,9 @@
     void add_connection(std::unique_ptr<peer_connection> connection,
                         std::optional<core::instance_id> target);
     void accept_hello(peer_connection& connection, core::hello const& message);
+    /// Ends the connection on which a peer sent before, once it sends on
+    /// another one.
+    void follow_sender(peer_connection& connection);
     void destroy_later(peer_connection& connection);
     void detach_connection(peer_state& peer, peer_connection& connection);
     void post_event(core::event event);
@@ -107,6 +112,7 @@
     std::unordered_map<peer_connection*, connection_entry> connections_;
     /// Accepted connections without a hello, oldest first.
     std::list<peer_connection*> unidentified_;
+    std::uint64_t last_connection_ = 0;
 };
 
 peer_network_state::peer_network_state(event_loop& loop, core::hello self,
@@ -276,7 +282,23 @@
                             : "received another message before the hello"});
         return;
     }
-    post_event(core::peer_received{*connection.peer, std::move(message)});
+    follow_sender(connection);
+    post_event(core::peer_received{*connection.peer, std::move(message),
+                                   connection.number});
+}
+
+// The peer sends on one connection until that one has ended on its side. What
+// the earlier one still delivers is older than what the peer has sent since.
+void peer_network_state::follow_sender(peer_connection& connection)
+{
+    auto& peer = peer_of(connection.peer->instance);
+    auto* const earlier = std::exchange(peer.receiving, &connection);
+    if (earlier != nullptr && earlier != &connection)
+    {
+        earlier->end({core::error_code::connection_lost, "read a frame",
+                      earlier->address(),
+                      "replaced by a later connection of the peer"});
+    }
 }
 
 void peer_network_state::accept_hello(peer_connection& connection,
@@ -296,6 +318,7 @@
     unidentified_.remove(&connection);
     connection.set_frame_limit(options_.frame_limit_bytes);
     connection.peer = sender;
+    connection.number = ++last_connection_;
     auto& peer = peer_of(sender.instance);
     peer.reconnect_delay = options_.initial_reconnect_delay;
     if (peer.key && *peer.key != sender)
@@ -377,6 +400,10 @@
                                            peer_connection& connection)
 {
     std::erase(peer.established, &connection);
+    if (peer.receiving == &connection)
+    {
+        peer.receiving = nullptr;
+    }
     if (peer.outgoing != &connection)
     {
         return;
--- a/tests/unit/peer_network.cpp
+++ b/tests/unit/peer_network.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(refused_connection_is_distinguished_from_a_lost_one);
     CPPUNIT_TEST(new_incarnation_replaces_the_older_one);
     CPPUNIT_TEST(loss_of_one_of_two_connections_is_reported);
+    CPPUNIT_TEST(earlier_connection_ends_once_the_peer_sends_on_another);
     CPPUNIT_TEST(malformed_frame_ends_only_its_connection);
     CPPUNIT_TEST(another_instance_at_the_address_is_rejected);
     CPPUNIT_TEST(largest_job_body_is_forwarded);
@@ -213,6 +214,46 @@
         CPPUNIT_ASSERT(a.events_of<core::peer_lost>().empty());
     }
 
+    // Guards against messages of an earlier connection that arrive after those
+    // of a later one, such as an offer after the withdrawal of its job.
+    void earlier_connection_ends_once_the_peer_sends_on_another()
+    {
+        node a{loop_, 1, 10, free_address()};
+        node b{loop_, 2, 20, free_address()};
+        connect_both(a, b);
+        b.send(a, 1);
+        run_until(
+            [&]
+            {
+                return a.events_of<core::peer_received>().size() == 1;
+            });
+        // Another connection of the same process.
+        node later{loop_, 2, 20, free_address()};
+        later.connect(a);
+        run_until(
+            [&]
+            {
+                return !later.events_of<core::peer_connected>().empty();
+            });
+        CPPUNIT_ASSERT(a.events_of<core::peer_messages_lost>().empty());
+        later.send(a, 2);
+        run_until(
+            [&]
+            {
+                return !a.events_of<core::peer_messages_lost>().empty();
+            });
+        auto const received = a.events_of<core::peer_received>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, received.size());
+        CPPUNIT_ASSERT(received.at(0).connection != 0);
+        CPPUNIT_ASSERT(received.at(0).connection != received.at(1).connection);
+        run_until(
+            [&]
+            {
+                return !b.events_of<core::peer_messages_lost>().empty() ||
+                       !b.events_of<core::peer_lost>().empty();
+            });
+    }
+
     // Guards against a malformed frame from one sender that disrupts the
     // connections to other peers.
     void malformed_frame_ends_only_its_connection()
