Let receivers of offers and heartbeats know the age of a message

Cause: an offer says how long its job had been open when it was sent, and its receiver counted from the arrival.

Change: an owner's heartbeats have a reading of its clock. Offers, withdrawals and heartbeats return the last reading of their receiver's clock with the time since its arrival (message_mark); the receiver computes from them a time on its own clock before which the message did not hold. 4 bytes in a heartbeat for the reading and 8 in a message for the mark, and no further messages. Nothing uses the marks yet.

unit.message_mark, unit.frame_codec pass.

--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestgate/core/leasing/evacuations.hpp"
 #include "goldcrestgate/core/leasing/executor.hpp"
 #include "goldcrestgate/core/leasing/leased_job.hpp"
+#include "goldcrestgate/core/leasing/message_mark.hpp"
 #include "goldcrestgate/core/leasing/run_time_model.hpp"
 
 #include <cstdint>
@@ -33,6 +34,9 @@
     /// receiver refuses an offer of an earlier term: it may have waited in the
     /// connection while the receiver was paused, and its caller may have left.
     std::uint64_t term = 0;
+    /// Time at which the caller waited; empty if the receiver has sent no clock
+    /// reading.
+    std::optional<message_mark> mark{};
 };
 
 /// @brief Reports that the caller of a job has disconnected and needs no
@@ -45,6 +49,8 @@
     std::uint64_t sequence = 0;
     /// Time since the caller has left.
     duration elapsed{};
+    /// Time from which `elapsed` counts back; empty as in @ref job_offer.
+    std::optional<message_mark> mark{};
 };
 
 /// Outcome of a job at an owner.
@@ -117,6 +123,11 @@
     /// Term of the sender's renewed token if it is the owner, otherwise the
     /// highest one that it knows in its failure domain; 0 without one.
     std::uint64_t highest_token_term = 0;
+    /// Reading of the sender's clock if it is the owner, otherwise 0.
+    std::uint32_t clock = 0;
+    /// Time at which the callers of the sender's open jobs waited; empty as in
+    /// @ref job_offer.
+    std::optional<message_mark> mark{};
 };
 
 /// @brief Learned speed of one executor.
--- a/include/goldcrestgate/wire/detail/envelope_generated.h
+++ b/include/goldcrestgate/wire/detail/envelope_generated.h
@@ -87,6 +87,8 @@
 struct TaskGroup;
 struct TaskGroupBuilder;
 
+struct MessageMark;
+
 struct JobOffer;
 struct JobOfferBuilder;
 
@@ -571,6 +573,34 @@
   using type = Amounts;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) MessageMark FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t echo_;
+  int32_t since_echo_ms_;
+
+ public:
+  struct Traits;
+  MessageMark()
+      : echo_(0),
+        since_echo_ms_(0) {
+  }
+  MessageMark(uint32_t _echo, int32_t _since_echo_ms)
+      : echo_(flatbuffers::EndianScalar(_echo)),
+        since_echo_ms_(flatbuffers::EndianScalar(_since_echo_ms)) {
+  }
+  uint32_t echo() const {
+    return flatbuffers::EndianScalar(echo_);
+  }
+  int32_t since_echo_ms() const {
+    return flatbuffers::EndianScalar(since_echo_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(MessageMark, 8);
+
+struct MessageMark::Traits {
+  using type = MessageMark;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashObservation FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t id_;
@@ -2365,7 +2395,8 @@
     VT_SEQUENCE = 26,
     VT_TERM = 28,
     VT_ROUTE = 30,
-    VT_ORIGIN_DOMAIN = 32
+    VT_ORIGIN_DOMAIN = 32,
+    VT_MARK = 34
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2412,6 +2443,9 @@
   uint16_t origin_domain() const {
     return GetField<uint16_t>(VT_ORIGIN_DOMAIN, 0);
   }
+  const goldcrestgate::wire::detail::MessageMark *mark() const {
+    return GetStruct<const goldcrestgate::wire::detail::MessageMark *>(VT_MARK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
@@ -2434,6 +2468,7 @@
            VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) &&
            VerifyField<uint16_t>(verifier, VT_ORIGIN_DOMAIN, 2) &&
+           VerifyField<goldcrestgate::wire::detail::MessageMark>(verifier, VT_MARK, 4) &&
            verifier.EndTable();
   }
 };
@@ -2487,6 +2522,9 @@
   void add_origin_domain(uint16_t origin_domain) {
     fbb_.AddElement<uint16_t>(JobOffer::VT_ORIGIN_DOMAIN, origin_domain, 0);
   }
+  void add_mark(const goldcrestgate::wire::detail::MessageMark *mark) {
+    fbb_.AddStruct(JobOffer::VT_MARK, mark);
+  }
   explicit JobOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2517,7 +2555,8 @@
     uint64_t sequence = 0,
     uint64_t term = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
-    uint16_t origin_domain = 0) {
+    uint16_t origin_domain = 0,
+    const goldcrestgate::wire::detail::MessageMark *mark = nullptr) {
   JobOfferBuilder builder_(_fbb);
   builder_.add_term(term);
   builder_.add_sequence(sequence);
@@ -2525,6 +2564,7 @@
   builder_.add_time_limit_us(time_limit_us);
   builder_.add_objective_us(objective_us);
   builder_.add_job(job);
+  builder_.add_mark(mark);
   builder_.add_route(route);
   builder_.add_groups(groups);
   builder_.add_payload(payload);
@@ -2558,7 +2598,8 @@
     uint64_t sequence = 0,
     uint64_t term = 0,
     const char *route = nullptr,
-    uint16_t origin_domain = 0) {
+    uint16_t origin_domain = 0,
+    const goldcrestgate::wire::detail::MessageMark *mark = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto payload__ = payload ? _fbb.CreateString(payload) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskGroup>>(*groups) : 0;
@@ -2579,7 +2620,8 @@
       sequence,
       term,
       route__,
-      origin_domain);
+      origin_domain,
+      mark);
 }
 
 struct JobWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2588,7 +2630,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_JOB = 4,
     VT_SEQUENCE = 6,
-    VT_ELAPSED_US = 8
+    VT_ELAPSED_US = 8,
+    VT_MARK = 10
   };
   uint64_t job() const {
     return GetField<uint64_t>(VT_JOB, 0);
@@ -2599,11 +2642,15 @@
   int64_t elapsed_us() const {
     return GetField<int64_t>(VT_ELAPSED_US, 0);
   }
+  const goldcrestgate::wire::detail::MessageMark *mark() const {
+    return GetStruct<const goldcrestgate::wire::detail::MessageMark *>(VT_MARK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<int64_t>(verifier, VT_ELAPSED_US, 8) &&
+           VerifyField<goldcrestgate::wire::detail::MessageMark>(verifier, VT_MARK, 4) &&
            verifier.EndTable();
   }
 };
@@ -2621,6 +2668,9 @@
   void add_elapsed_us(int64_t elapsed_us) {
     fbb_.AddElement<int64_t>(JobWithdrawal::VT_ELAPSED_US, elapsed_us, 0);
   }
+  void add_mark(const goldcrestgate::wire::detail::MessageMark *mark) {
+    fbb_.AddStruct(JobWithdrawal::VT_MARK, mark);
+  }
   explicit JobWithdrawalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2636,11 +2686,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t job = 0,
     uint64_t sequence = 0,
-    int64_t elapsed_us = 0) {
+    int64_t elapsed_us = 0,
+    const goldcrestgate::wire::detail::MessageMark *mark = nullptr) {
   JobWithdrawalBuilder builder_(_fbb);
   builder_.add_elapsed_us(elapsed_us);
   builder_.add_sequence(sequence);
   builder_.add_job(job);
+  builder_.add_mark(mark);
   return builder_.Finish();
 }
 
@@ -2838,7 +2890,9 @@
     VT_EVACUATION_VERSION = 28,
     VT_EVACUATED = 30,
     VT_CRASHES = 32,
-    VT_HIGHEST_TOKEN_TERM = 34
+    VT_HIGHEST_TOKEN_TERM = 34,
+    VT_CLOCK = 36,
+    VT_MARK = 38
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -2888,6 +2942,12 @@
   uint64_t highest_token_term() const {
     return GetField<uint64_t>(VT_HIGHEST_TOKEN_TERM, 0);
   }
+  uint32_t clock() const {
+    return GetField<uint32_t>(VT_CLOCK, 0);
+  }
+  const goldcrestgate::wire::detail::MessageMark *mark() const {
+    return GetStruct<const goldcrestgate::wire::detail::MessageMark *>(VT_MARK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -2910,6 +2970,8 @@
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
            VerifyField<uint64_t>(verifier, VT_HIGHEST_TOKEN_TERM, 8) &&
+           VerifyField<uint32_t>(verifier, VT_CLOCK, 4) &&
+           VerifyField<goldcrestgate::wire::detail::MessageMark>(verifier, VT_MARK, 4) &&
            verifier.EndTable();
   }
 };
@@ -2966,6 +3028,12 @@
   void add_highest_token_term(uint64_t highest_token_term) {
     fbb_.AddElement<uint64_t>(OwnerHeartbeat::VT_HIGHEST_TOKEN_TERM, highest_token_term, 0);
   }
+  void add_clock(uint32_t clock) {
+    fbb_.AddElement<uint32_t>(OwnerHeartbeat::VT_CLOCK, clock, 0);
+  }
+  void add_mark(const goldcrestgate::wire::detail::MessageMark *mark) {
+    fbb_.AddStruct(OwnerHeartbeat::VT_MARK, mark);
+  }
   explicit OwnerHeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2994,7 +3062,9 @@
     uint64_t evacuation_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> evacuated = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>> crashes = 0,
-    uint64_t highest_token_term = 0) {
+    uint64_t highest_token_term = 0,
+    uint32_t clock = 0,
+    const goldcrestgate::wire::detail::MessageMark *mark = nullptr) {
   OwnerHeartbeatBuilder builder_(_fbb);
   builder_.add_highest_token_term(highest_token_term);
   builder_.add_evacuation_version(evacuation_version);
@@ -3004,6 +3074,8 @@
   builder_.add_expected_wait_us(expected_wait_us);
   builder_.add_highest_term(highest_term);
   builder_.add_term(term);
+  builder_.add_mark(mark);
+  builder_.add_clock(clock);
   builder_.add_crashes(crashes);
   builder_.add_evacuated(evacuated);
   builder_.add_yields_to(yields_to);
@@ -3037,7 +3109,9 @@
     uint64_t evacuation_version = 0,
     const std::vector<uint16_t> *evacuated = nullptr,
     const std::vector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>> *crashes = nullptr,
-    uint64_t highest_token_term = 0) {
+    uint64_t highest_token_term = 0,
+    uint32_t clock = 0,
+    const goldcrestgate::wire::detail::MessageMark *mark = nullptr) {
   auto successors__ = successors ? _fbb.CreateVector<uint32_t>(*successors) : 0;
   auto evacuated__ = evacuated ? _fbb.CreateVector<uint16_t>(*evacuated) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<goldcrestgate::wire::detail::TaskCrashes>>(*crashes) : 0;
@@ -3058,7 +3132,9 @@
       evacuation_version,
       evacuated__,
       crashes__,
-      highest_token_term);
+      highest_token_term,
+      clock,
+      mark);
 }
 
 struct ExecutorDescription FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/frame_encoder.cpp
+++ b/src/wire/frame_encoder.cpp
@@ -275,10 +275,18 @@
                                    after_list);
 }
 
+std::optional<detail::MessageMark>
+to_wire(std::optional<core::message_mark> const& mark)
+{
+    return mark ? std::optional{detail::MessageMark{mark->echo,
+                                                    mark->since_echo_ms}}
+                : std::nullopt;
+}
+
 encoded_message encode(builder& out, core::job_offer const& message)
 {
-    auto const& [job, elapsed, resumed, only_offered_here, sequence, term] =
-        message;
+    auto const& [job, elapsed, resumed, only_offered_here, sequence, term,
+                 mark] = message;
     auto const route = out.CreateString(job.route);
     auto const service = out.CreateString(job.service);
     auto const payload = out.CreateString(job.payload);
@@ -289,23 +297,26 @@
         groups.push_back(to_wire(out, group));
     }
     auto const group_list = out.CreateVector(groups);
+    auto const mark_value = to_wire(mark);
     return {detail::Message::JobOffer,
-            detail::CreateJobOffer(out, job.id.value(), service, payload,
-                                   group_list, job.max_attempts, job.priority,
-                                   job.objective.count(),
-                                   job.time_limit.count(), elapsed.count(),
-                                   resumed, only_offered_here, sequence, term,
-                                   route, job.origin_domain.value())
+            detail::CreateJobOffer(
+                out, job.id.value(), service, payload, group_list,
+                job.max_attempts, job.priority, job.objective.count(),
+                job.time_limit.count(), elapsed.count(), resumed,
+                only_offered_here, sequence, term, route,
+                job.origin_domain.value(), mark_value ? &*mark_value : nullptr)
                 .Union()};
 }
 
 encoded_message encode(builder& out, core::job_withdrawal const& message)
 {
-    auto const& [job, sequence, elapsed] = message;
-    return {
-        detail::Message::JobWithdrawal,
-        detail::CreateJobWithdrawal(out, job.value(), sequence, elapsed.count())
-            .Union()};
+    auto const& [job, sequence, elapsed, mark] = message;
+    auto const mark_value = to_wire(mark);
+    return {detail::Message::JobWithdrawal,
+            detail::CreateJobWithdrawal(out, job.value(), sequence,
+                                        elapsed.count(),
+                                        mark_value ? &*mark_value : nullptr)
+                .Union()};
 }
 
 encoded_message encode(builder& out, core::job_verdict const& message)
@@ -334,7 +345,7 @@
     auto const& [term, highest_term, weight, leaving, free_millicores,
                  expected_wait, configuration_version, time_to_claim, interval,
                  successors, owner_known, yields_to, evacuated, crashes,
-                 highest_token_term] = message;
+                 highest_token_term, clock, mark] = message;
     std::vector<std::uint32_t> successor_ids;
     successor_ids.reserve(successors.size());
     for (auto const successor : successors)
@@ -364,13 +375,15 @@
         }
         crash_list = out.CreateVector(tasks);
     }
+    auto const mark_value = to_wire(mark);
     return {detail::Message::OwnerHeartbeat,
             detail::CreateOwnerHeartbeat(
                 out, term, highest_term, weight, leaving, free_millicores,
                 expected_wait.count(), configuration_version,
                 time_to_claim.count(), interval.count(), successor_list,
                 owner_known, yields_to.value(), evacuated.version, domain_list,
-                crash_list, highest_token_term)
+                crash_list, highest_token_term, clock,
+                mark_value ? &*mark_value : nullptr)
                 .Union()};
 }
 
--- a/src/wire/leasing_decoder.cpp
+++ b/src/wire/leasing_decoder.cpp
@@ -118,6 +118,13 @@
     return evacuated;
 }
 
+std::optional<core::message_mark> decode_mark(MessageMark const* source)
+{
+    return source == nullptr ? std::nullopt
+                             : std::optional{core::message_mark{
+                                   source->echo(), source->since_echo_ms()}};
+}
+
 } // namespace
 
 std::optional<core::peer_message> decode(JobOffer const& source)
@@ -169,6 +176,7 @@
     message.only_offered_here = source.only_offered_here();
     message.sequence = source.sequence();
     message.term = source.term();
+    message.mark = decode_mark(source.mark());
     return message;
 }
 
@@ -181,7 +189,8 @@
         return std::nullopt;
     }
     return core::job_withdrawal{core::client_job_id{source.job()},
-                                source.sequence(), elapsed};
+                                source.sequence(), elapsed,
+                                decode_mark(source.mark())};
 }
 
 std::optional<core::peer_message> decode(JobVerdict const& source)
@@ -227,6 +236,8 @@
     message.yields_to = core::instance_id{source.yields_to()};
     message.evacuated = decode_evacuations(source);
     message.crashes = decode_crashes(source);
+    message.clock = source.clock();
+    message.mark = decode_mark(source.mark());
     return message;
 }
 
--- a/tests/unit/frame_codec.cpp
+++ b/tests/unit/frame_codec.cpp
@@ -61,7 +61,7 @@
     job.priority = 5;
     job.objective = milliseconds{156};
     job.time_limit = milliseconds{1500};
-    return {job, milliseconds{7}, true, true, 8, 9};
+    return {job, milliseconds{7}, true, true, 8, 9, core::message_mark{45, 46}};
 }
 
 core::run_time_histogram make_run_times()
@@ -79,6 +79,8 @@
     heartbeat.term = 29;
     heartbeat.highest_term = 30;
     heartbeat.highest_token_term = 31;
+    heartbeat.clock = 37;
+    heartbeat.mark = core::message_mark{41, -43};
     heartbeat.weight = 31;
     heartbeat.leaving = true;
     heartbeat.free_millicores = 32;
@@ -122,7 +124,8 @@
         core::slot_message{26, std::nullopt, {}},
         make_offer(),
         core::job_withdrawal{core::client_job_id{27}, 29,
-                             std::chrono::microseconds{150'001}},
+                             std::chrono::microseconds{150'001},
+                             core::message_mark{47, 48}},
         core::job_verdict{core::client_job_id{28}, core::job_outcome::rejected,
                           std::chrono::seconds{2}, 30},
         make_heartbeat(),
