Refuse offers whose callers may be back elsewhere

Cause: the owner took offers that the cut had held up for new ones. Likewise, each message that arrived counted as a sign that the sender's callers waited now, however old it was.

Change: origin_heard gets the time before which a message did not hold, from its mark. An offer for which no task could start any more is answered not_owner; the gateway that still has the caller offers the job again. A heartbeat confirms only jobs that were offered on its connection, as a withdrawal may have been lost with an earlier one. The callers of the owner itself are treated in the same way, so that its own pauses count. A withdrawal is remembered until offers from before it are refused for their age.

Why this works: a message is as old as its delay wherever it was held up, and caller_bounds starts nothing on news that is over 1.0 s old.

--- a/include/goldcrestgate/app/entry/entry_instance.hpp
+++ b/include/goldcrestgate/app/entry/entry_instance.hpp
@@ -65,6 +65,8 @@
     // requests of callers
     void add_caller_routes();
     void submit(io::http_request const& request, io::http_reply const& reply);
+    /// Handles the callers that have left by now.
+    void check_callers();
     void query(io::http_request const& request,
                io::http_reply const& reply) const;
     void refuse_request(io::http_reply const& reply, std::uint16_t status,
@@ -83,8 +85,13 @@
 
     // peers
     void on_peer_event(core::event&& event);
-    void on_message(core::instance_key const& from,
-                    core::peer_message& message);
+    void on_message(core::peer_received& received);
+    /// Records until when the callers of an instance were known to wait.
+    void note_callers(core::peer_received const& received,
+                      std::optional<core::message_mark> const& mark);
+    /// Returns the mark of a message that tells which callers wait.
+    [[nodiscard]] std::optional<core::message_mark>
+    caller_mark(core::instance_id peer) const;
     void on_connected(core::instance_key const& peer);
     /// Repeats the offers and withdrawals to an owner, as messages may be lost.
     void offer_again(core::instance_id owner);
@@ -162,6 +169,9 @@
     bool configuration_current_logged_ = false;
     core::domain_ownership ownership_;
     core::heartbeat_plan heartbeat_plan_;
+    core::clock_echoes clock_echoes_;
+    /// Time at which all callers that had left were last handled.
+    core::time_point callers_checked_at_{};
     /// The successors that this instance as the owner has designated so far;
     /// each of them has the roster.
     std::vector<core::instance_id> informed_successors_;
--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -72,8 +72,6 @@
 {
     /// Time at which the job's runs are stopped.
     time_point at{};
-    /// Time at which the caller was last known to wait.
-    time_point waiting_at{};
     /// Whether the only cause is that the job's instance seems lost.
     bool origin_lost = false;
 };
@@ -84,6 +82,13 @@
     /// Counted in the owner's @ref job_memory.
     std::size_t memory_bytes = 0;
     instance_id origin;
+    /// Time at which the caller waited when its instance last offered the job,
+    /// or was last known to wait if messages no longer confirm it.
+    time_point caller_seen_at{};
+    /// Connection of the last offer. Messages on it confirm that the caller
+    /// waits, as a withdrawal would have come before them; empty if nothing
+    /// confirms it.
+    std::optional<std::uint64_t> caller_connection;
     /// Number of the last offer.
     std::uint64_t sequence = 0;
     time_point due{};
@@ -130,6 +135,17 @@
            task.index < job.groups[task.group].tasks.size();
 }
 
+/// @brief News of the callers of an instance.
+struct origin_news
+{
+    /// Connection of the last message.
+    std::uint64_t connection = 0;
+    /// Time at which the callers of its open jobs were last known to wait.
+    time_point callers_seen_at{};
+    /// Time before which the last message did not hold.
+    time_point message_held_since{};
+};
+
 /// @brief A withdrawal, after which offers with lower numbers are not valid.
 struct withdrawal_record
 {
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -160,8 +160,8 @@
     /// Renewals of the token since ownership was taken.
     std::uint64_t token_renewals = 0;
     time_point owner_since{};
-    /// Times before which the last messages of other instances were not sent.
-    std::map<instance_id, time_point> heard;
+    /// By the instance that has the callers.
+    std::map<instance_id, origin_news> heard;
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
     std::uint64_t last_order = 0;
@@ -598,10 +598,23 @@
     [[nodiscard]] time_point lease_limit(executor_record const& executor,
                                          time_point now) const;
     [[nodiscard]] time_point lease_limit(run_record const& run) const;
-    /// Time before which the last message of an instance was not sent; now if
+    /// Records news of the callers of an instance.
+    void note_callers(instance_id instance, origin_news const& news);
+    /// Time before which the last message of an instance did not hold; now if
     /// it has sent none.
-    [[nodiscard]] time_point last_heard(instance_id instance,
-                                        time_point now) const;
+    [[nodiscard]] time_point message_held_since(instance_id instance,
+                                                time_point now) const;
+    /// Records that the instance of a job's caller has offered the job.
+    void note_offer(job_record& job, instance_id origin,
+                    std::uint64_t sequence) const;
+    /// Records that the caller may have left since a time; nothing but a new
+    /// offer shows that it waits.
+    void note_absence(job_record& job, time_point left_at) const;
+    /// Refuses an offer whose caller may be back elsewhere.
+    /// @return whether it has been refused
+    [[nodiscard]] bool refuse_outdated(instance_id origin,
+                                       job_offer const& offered,
+                                       scheduler_context& context) const;
     /// Time at which the caller of a job was last known to wait;
     /// `time_point::max()` if no message of its instance has arrived.
     [[nodiscard]] time_point caller_waiting_at(job_record const& job) const;
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -134,10 +134,14 @@
     /// their jobs elsewhere.
     void origin_lost(instance_id origin, time_point now);
 
-    /// @brief Records that an instance has sent a message. Leases of runs for
-    /// its callers end a fixed time after its last message.
-    /// @param sent_after a time before which the message was not sent
-    void origin_heard(instance_id origin, time_point sent_after);
+    /// @brief Records that the callers of an instance's open jobs waited at a
+    /// time. Starts and leases for them are limited by it. To be called before
+    /// an offer or a withdrawal of the instance is handled.
+    /// @param held_since a time before which the message did not hold
+    /// @param connection the connection of the message; a message confirms only
+    /// the jobs that were offered on its connection
+    void origin_heard(instance_id origin, time_point held_since,
+                      std::uint64_t connection = 0);
 
     /// @brief Handles the return of an instance that was only silent. Its jobs
     /// that have not been cancelled yet go on if it offers them again shortly;
--- a/src/app/entry/entry_instance.cpp
+++ b/src/app/entry/entry_instance.cpp
@@ -225,6 +225,7 @@
                        [this]
                        {
                            heartbeat_timer_.start_after(heartbeat_interval);
+                           check_callers();
                            send_heartbeats();
                        })
     , publish_retry_timer_(loop,
@@ -310,7 +311,9 @@
     log_.write(to_log_line(action));
     if (action.owner != self_.instance)
     {
-        send(action.owner, action.offer);
+        auto offer = action.offer;
+        offer.mark = caller_mark(action.owner);
+        send(action.owner, std::move(offer));
         return;
     }
     std::vector<core::scheduler_action> out;
@@ -323,7 +326,9 @@
     log_.write(to_log_line(action));
     if (action.owner != self_.instance)
     {
-        send(action.owner, action.withdrawal);
+        auto withdrawal = action.withdrawal;
+        withdrawal.mark = caller_mark(action.owner);
+        send(action.owner, withdrawal);
         return;
     }
     std::vector<core::scheduler_action> out;
@@ -382,11 +387,19 @@
            !ownership_.owners(loop_.now()).empty();
 }
 
+void entry_instance::check_callers()
+{
+    auto const now = loop_.now();
+    caller_server_.notify_disconnects();
+    callers_checked_at_ = now;
+    scheduler_.origin_heard(self_.instance, now);
+}
+
 void entry_instance::tick()
 {
     auto const now = loop_.now();
     // No job is offered whose caller has left.
-    caller_server_.notify_disconnects();
+    check_callers();
     for (auto const unresponsive : ownership_.take_unresponsive(now))
     {
         log_.write(log_line{log_level::warning, "peer_silent"}.text(
--- a/src/app/entry/entry_ownership.cpp
+++ b/src/app/entry/entry_ownership.cpp
@@ -80,7 +80,7 @@
             .flag("owner", scheduler_.owns()));
     ownership_.paused(loop_.now());
     decide_ownership();
-    caller_server_.notify_disconnects();
+    check_callers();
 }
 
 } // namespace goldcrestgate::app
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -48,6 +48,7 @@
     heartbeat.configuration_version = routes_.version;
     heartbeat.evacuated = evacuations_;
     heartbeat.crashes = scheduler_.crash_report(now);
+    heartbeat.clock = heartbeat.term != 0 ? core::clock_reading(now) : 0;
     return heartbeat;
 }
 
@@ -65,6 +66,7 @@
         if (heartbeat_plan_.take_due(id, interval, now))
         {
             heartbeat.interval = interval.value_or(core::duration{});
+            heartbeat.mark = caller_mark(id);
             send(id, heartbeat);
         }
     }
@@ -236,7 +238,7 @@
         core::detail::overloaded{
             [this](core::peer_received& received)
             {
-                on_message(received.from, received.message);
+                on_message(received);
             },
             [this](core::peer_connected const& connected)
             {
@@ -286,6 +288,7 @@
     }
     else
     {
+        clock_echoes_.forget(peer.instance);
         scheduler_.origin_lost(peer.instance, loop_.now());
     }
     log_.write(log_line{log_level::info, "peer_connected"}.text(
@@ -299,7 +302,7 @@
 
 void entry_instance::offer_again(core::instance_id owner)
 {
-    caller_server_.notify_disconnects();
+    check_callers();
     std::vector<core::gateway_action> out;
     gateway_.owner_reconnected(owner, loop_.now(), out);
     apply(out);
@@ -322,15 +325,37 @@
     send(peer, std::move(addresses));
 }
 
-void entry_instance::on_message(core::instance_key const& from,
-                                core::peer_message& message)
+std::optional<core::message_mark>
+entry_instance::caller_mark(core::instance_id peer) const
+{
+    return clock_echoes_.mark_for(
+        peer, std::max(callers_checked_at_, loop_.input_since()));
+}
+
+// Instances of earlier versions send no marks; their messages count as sent
+// when they arrived.
+void entry_instance::note_callers(core::peer_received const& received,
+                                  std::optional<core::message_mark> const& mark)
+{
+    scheduler_.origin_heard(received.from.instance,
+                            mark ? core::held_since(*mark, loop_.now())
+                                 : loop_.input_since(),
+                            received.connection);
+}
+
+void entry_instance::on_message(core::peer_received& received)
 {
     auto const now = loop_.now();
-    scheduler_.origin_heard(from.instance, loop_.input_since());
+    auto const& from = received.from;
     std::visit(
         core::detail::overloaded{
             [&](core::owner_heartbeat const& heartbeat)
             {
+                note_callers(received, heartbeat.mark);
+                if (heartbeat.clock != 0)
+                {
+                    clock_echoes_.received(from.instance, heartbeat.clock, now);
+                }
                 ownership_.heartbeat_received(from, heartbeat, now);
                 answer_heartbeat(from, heartbeat);
                 adopt_evacuations(heartbeat.evacuated, "peer");
@@ -350,12 +375,14 @@
             },
             [&](core::job_offer const& offer)
             {
+                note_callers(received, offer.mark);
                 std::vector<core::scheduler_action> out;
                 scheduler_.offer(from.instance, offer, now, out);
                 apply(out);
             },
             [&](core::job_withdrawal const& withdrawal)
             {
+                note_callers(received, withdrawal.mark);
                 std::vector<core::scheduler_action> out;
                 scheduler_.withdraw(from.instance, withdrawal, now, out);
                 apply(out);
@@ -414,7 +441,7 @@
                     log_line{log_level::warning, "unexpected_message"}.text(
                         "peer", format_instance(from.instance)));
             }},
-        message);
+        received.message);
 }
 
 } // namespace goldcrestgate::app
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -23,10 +23,6 @@
 /// finds the runs on it.
 constexpr duration roster_delay = std::chrono::milliseconds{100};
 
-/// Time for which a withdrawal is remembered; an offer that was sent before it
-/// on another connection arrives within this time.
-constexpr duration withdrawal_retention = std::chrono::seconds{1};
-
 /// Time for which the jobs of a lost instance go on until it offers them again.
 /// The loss is detected late, so only part of the delay of resubmissions is
 /// left.
@@ -252,8 +248,9 @@
 {
     auto const job = withdrawal.job;
     scheduler_context context{now, out};
+    // By then, an offer that was sent before is refused for its age.
     state_.withdrawn[{job, origin}] = {withdrawal.sequence,
-                                       now + withdrawal_retention};
+                                       now + state_.limits.resubmission_delay};
     out.emplace_back(report_verdict{
         origin, {job, job_outcome::withdrawn, {}, withdrawal.sequence}});
     auto const found = state_.jobs.find(job);
@@ -269,35 +266,35 @@
     }
     // The runs may still serve a resubmission by the caller, so they continue
     // for some time, but their leases end before it may arrive elsewhere.
-    auto const left_at = state_.last_heard(origin, now) - withdrawal.elapsed;
-    detail::job_cancellation withdrawn{state_.callers.stop_at(left_at),
-                                       left_at};
+    auto const left_at =
+        state_.message_held_since(origin, now) - withdrawal.elapsed;
+    state_.note_absence(record, left_at);
+    auto stop_at = state_.callers.stop_at(left_at);
     if (auto const& earlier = record.cancellation)
     {
-        withdrawn.at = std::min(withdrawn.at, earlier->at);
-        withdrawn.waiting_at =
-            std::min(withdrawn.waiting_at, earlier->waiting_at);
+        stop_at = std::min(stop_at, earlier->at);
     }
-    record.cancellation = withdrawn;
+    record.cancellation = detail::job_cancellation{stop_at};
 }
 
 void job_scheduler::origin_lost(instance_id origin, time_point now)
 {
     auto const until = now + lost_origin_wait(state_.limits);
-    // A new process of the instance does not have the callers.
-    auto const waiting_at = state_.last_heard(origin, now);
     for (auto& [id, job] : state_.jobs)
     {
         if (job.origin == origin && !job.cancellation)
         {
-            job.cancellation = {until, waiting_at, true};
+            // A new process of the instance does not have the callers.
+            state_.note_absence(job, now);
+            job.cancellation = {until, true};
         }
     }
 }
 
-void job_scheduler::origin_heard(instance_id origin, time_point sent_after)
+void job_scheduler::origin_heard(instance_id origin, time_point held_since,
+                                 std::uint64_t connection)
 {
-    state_.heard[origin] = sent_after;
+    state_.note_callers(origin, {connection, held_since, held_since});
 }
 
 void job_scheduler::origin_returned(instance_id origin, time_point now)
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -86,12 +86,22 @@
         context.out.emplace_back(log_event);
         return;
     }
+    if (refuse_outdated(origin, offered, context))
+    {
+        return;
+    }
     bool const may_run_elsewhere =
         offered.resumed && !offered.only_offered_here;
     if (auto const known = jobs.find(id); known != jobs.end())
     {
-        known->second.origin = origin;
-        known->second.sequence = offered.sequence;
+        bool const is_repeated_later =
+            known->second.origin == origin &&
+            offered.sequence < known->second.sequence;
+        if (is_repeated_later)
+        {
+            return;
+        }
+        note_offer(known->second, origin, offered.sequence);
         known->second.job.max_attempts = offered.job.max_attempts;
         known->second.cancellation.reset();
         if (may_run_elsewhere && !known->second.inherited)
@@ -117,8 +127,7 @@
     job.job = offered.job;
     job.memory_bytes = job_record_bytes(job.job);
     memory.add(job.memory_bytes);
-    job.origin = origin;
-    job.sequence = offered.sequence;
+    note_offer(job, origin, offered.sequence);
     job.due = context.now - offered.elapsed + offered.job.objective;
     job.deadline = context.now - offered.elapsed + offered.job.time_limit;
     job.critical_path_time = critical_path(offered.job.groups);
--- a/src/core/leasing/scheduler_leases.cpp
+++ b/src/core/leasing/scheduler_leases.cpp
@@ -48,23 +48,6 @@
     return scale_duration(lease, clock_drift) + lease_expiry_margin;
 }
 
-time_point scheduler_state::last_heard(instance_id instance,
-                                       time_point now) const
-{
-    auto const found = heard.find(instance);
-    return found == heard.end() ? now : std::min(now, found->second);
-}
-
-time_point scheduler_state::caller_waiting_at(job_record const& job) const
-{
-    auto const& cancellation = job.cancellation;
-    auto const waiting_at =
-        cancellation ? cancellation->waiting_at : time_point::max();
-    auto const origin = heard.find(job.origin);
-    return origin == heard.end() ? waiting_at
-                                 : std::min(waiting_at, origin->second);
-}
-
 // Whether and since when the caller of an orphan has left is not known. The
 // owner that granted the lease limited it by what it knew of the caller.
 time_point scheduler_state::lease_limit(run_record const& run) const
--- a/src/core/leasing/scheduler_placement.cpp
+++ b/src/core/leasing/scheduler_placement.cpp
@@ -387,7 +387,8 @@
     log_event.slack = job.due - context.now;
     log_event.run_time = choice.expected_run;
     log_event.count = choice.candidates;
-    log_event.caller_age = context.now - last_heard(job.origin, context.now);
+    log_event.caller_age =
+        context.now - std::min(context.now, caller_waiting_at(job));
     context.out.emplace_back(log_event);
 }
 
--- a/tests/support/domain_cluster.cpp
+++ b/tests/support/domain_cluster.cpp
@@ -14,6 +14,9 @@
 constexpr duration network_delay = milliseconds{2};
 constexpr duration tick_interval = milliseconds{20};
 
+/// Difference between the clocks of two successive instances.
+constexpr duration clock_step = std::chrono::hours{1};
+
 /// Offers of a process have numbers below this power of 2 times the next one's.
 constexpr unsigned process_number_bits = 32;
 
@@ -217,6 +220,62 @@
     return std::size_t{instance.value()} - 1;
 }
 
+void domain_cluster::set_held(std::size_t from, std::size_t to, bool held,
+                              duration later)
+{
+    if (held)
+    {
+        held_.try_emplace({from, to});
+        return;
+    }
+    auto const messages = held_.extract({from, to});
+    if (messages.empty())
+    {
+        return;
+    }
+    fleet_.schedule(network_delay + later,
+                    [this, released = messages.mapped()]
+                    {
+                        for (auto const& message : released)
+                        {
+                            receive(message);
+                        }
+                    });
+}
+
+bool domain_cluster::is_held(std::size_t left, std::size_t right) const
+{
+    return held_.contains({left, right}) || held_.contains({right, left});
+}
+
+std::uint64_t& domain_cluster::connection(std::size_t left, std::size_t right)
+{
+    return connections_[std::minmax(left, right)];
+}
+
+time_point domain_cluster::clock_of(std::size_t node) const
+{
+    return fleet_.now() + clock_step * node;
+}
+
+std::optional<message_mark> domain_cluster::caller_mark(std::size_t from,
+                                                        std::size_t to) const
+{
+    return nodes_[from]->echoes.mark_for(nodes_[to]->key.instance,
+                                         clock_of(from));
+}
+
+void domain_cluster::note_callers(std::size_t from, std::size_t to,
+                                  std::optional<message_mark> const& mark)
+{
+    auto& receiver = *nodes_[to];
+    auto const age =
+        mark ? clock_of(to) - held_since(*mark, clock_of(to)) : duration{};
+    receiver.executors.scheduler.origin_heard(nodes_[from]->key.instance,
+                                              fleet_.now() - age,
+                                              receiver.receiving[from]);
+}
+
 bool domain_cluster::is_cut(std::size_t left, std::size_t right) const
 {
     return left != right && (nodes_[left]->cut || nodes_[right]->cut);
@@ -253,39 +312,51 @@
         work();
         return;
     }
-    if (is_cut(from, to))
+    bool const has_no_connection =
+        is_held(from, to) && nodes_[from]->disconnected.contains(to);
+    if (is_cut(from, to) || has_no_connection)
+    {
+        return;
+    }
+    sent_message message{from, to, connection(from, to),
+                         nodes_[to]->resets[from], std::move(work)};
+    if (auto const held = held_.find({from, to}); held != held_.end())
     {
+        held->second.push_back(std::move(message));
         return;
     }
     fleet_.schedule(network_delay,
-                    [this, from, to, work = std::move(work),
-                     sent_at = fleet_.now(), resets = nodes_[to]->resets[from]]
+                    [this, message = std::move(message)]
                     {
-                        receive(from, to, sent_at, resets, work);
+                        receive(message);
                     });
 }
 
-void domain_cluster::receive(std::size_t from, std::size_t to,
-                             time_point sent_at, std::uint64_t resets,
-                             std::function<void()> const& work)
+void domain_cluster::receive(sent_message const& message)
 {
-    auto& receiver = *nodes_[to];
-    if (is_cut(from, to) || receiver.down || receiver.resets[from] != resets)
+    auto const from = message.from;
+    auto& receiver = *nodes_[message.to];
+    if (is_cut(from, message.to) || receiver.down ||
+        receiver.resets[from] != message.resets)
     {
         return;
     }
-    if (is_paused(to))
+    if (is_paused(message.to))
     {
-        when_resumed(to,
-                     [this, from, to, sent_at, resets, work]
+        when_resumed(message.to,
+                     [this, message]
                      {
-                         receive(from, to, sent_at, resets, work);
+                         receive(message);
                      });
         return;
     }
-    receiver.executors.scheduler.origin_heard(nodes_[from]->key.instance,
-                                              sent_at);
-    work();
+    // An instance closes the connection on which a peer no longer sends.
+    auto& receiving = receiver.receiving[from];
+    if (message.connection >= receiving)
+    {
+        receiving = message.connection;
+        message.work();
+    }
 }
 
 void domain_cluster::tick(std::size_t node)
@@ -297,15 +368,21 @@
         return;
     }
     auto const now = fleet_.now();
+    state.executors.scheduler.origin_heard(state.key.instance, now);
     for (auto const peer : state.ownership.take_unresponsive(now))
     {
         state.executors.scheduler.origin_lost(peer, now);
         state.disconnected.insert(index_of(peer));
+        if (is_held(node, index_of(peer)))
+        {
+            // The closed connection refuses what is held up.
+            ++state.resets[index_of(peer)];
+        }
     }
     auto const disconnected = state.disconnected;
     for (auto const peer : disconnected)
     {
-        if (!is_cut(node, peer) && !is_paused(peer))
+        if (!is_cut(node, peer) && !is_held(node, peer) && !is_paused(peer))
         {
             reconnect(node, peer);
         }
@@ -371,6 +448,7 @@
 
 void domain_cluster::reconnect(std::size_t left, std::size_t right)
 {
+    ++connection(left, right);
     for (auto const& [node, peer] :
          {std::pair{left, right}, std::pair{right, left}})
     {
@@ -380,6 +458,7 @@
         state.plan.expedite(id);
         if (std::exchange(state.processes[peer], process) != process)
         {
+            state.echoes.forget(id);
             state.executors.scheduler.origin_lost(id, fleet_.now());
             continue;
         }
@@ -394,8 +473,13 @@
 {
     auto const now = fleet_.now();
     auto const load = node.executors.scheduler.load(now);
-    return node.ownership.heartbeat(load.free_millicores, load.expected_wait,
-                                    now);
+    auto heartbeat =
+        node.ownership.heartbeat(load.free_millicores, load.expected_wait, now);
+    if (heartbeat.term != 0)
+    {
+        heartbeat.clock = clock_reading(clock_of(index_of(node.key.instance)));
+    }
+    return heartbeat;
 }
 
 void domain_cluster::send_heartbeats(std::size_t node)
@@ -413,11 +497,16 @@
         {
             continue;
         }
-        auto const interval = state.ownership.interval_to(
+        auto interval = state.ownership.interval_to(
             key, view, sharing.contains(key.instance));
+        if (interval && key.domain != state.key.domain)
+        {
+            *interval *= remote_interval_factor_;
+        }
         if (state.plan.take_due(key.instance, interval, now))
         {
             heartbeat.interval = interval.value_or(duration{});
+            heartbeat.mark = caller_mark(node, other);
             deliver(node, other,
                     [this, node, other, heartbeat]
                     {
@@ -432,6 +521,12 @@
 {
     auto& receiver = *nodes_[to];
     auto const& sender = nodes_[from]->key;
+    note_callers(from, to, heartbeat.mark);
+    if (heartbeat.clock != 0)
+    {
+        receiver.echoes.received(sender.instance, heartbeat.clock,
+                                 clock_of(to));
+    }
     receiver.ownership.heartbeat_received(sender, heartbeat, fleet_.now());
     bool const asks_for_owner = sender.domain == receiver.key.domain &&
                                 heartbeat.term == 0 && !heartbeat.owner_known;
@@ -474,9 +569,15 @@
                 [&](send_offer const& offered)
                 {
                     auto const owner = index_of(offered.owner);
+                    auto offer = offered.offer;
+                    offer.mark = caller_mark(node, owner);
                     deliver(node, owner,
-                            [this, owner, origin, offer = offered.offer]
+                            [this, node, owner, origin, offer]
                             {
+                                if (node != owner)
+                                {
+                                    note_callers(node, owner, offer.mark);
+                                }
                                 auto& target = nodes_[owner]->executors;
                                 std::vector<scheduler_action> out;
                                 target.scheduler.offer(origin, offer,
@@ -487,16 +588,21 @@
                 [&](send_withdrawal const& withdrawn)
                 {
                     auto const owner = index_of(withdrawn.owner);
-                    deliver(
-                        node, owner,
-                        [this, owner, origin, withdrawal = withdrawn.withdrawal]
-                        {
-                            auto& target = nodes_[owner]->executors;
-                            std::vector<scheduler_action> out;
-                            target.scheduler.withdraw(origin, withdrawal,
-                                                      fleet_.now(), out);
-                            target.apply(out);
-                        });
+                    auto withdrawal = withdrawn.withdrawal;
+                    withdrawal.mark = caller_mark(node, owner);
+                    deliver(node, owner,
+                            [this, node, owner, origin, withdrawal]
+                            {
+                                if (node != owner)
+                                {
+                                    note_callers(node, owner, withdrawal.mark);
+                                }
+                                auto& target = nodes_[owner]->executors;
+                                std::vector<scheduler_action> out;
+                                target.scheduler.withdraw(origin, withdrawal,
+                                                          fleet_.now(), out);
+                                target.apply(out);
+                            });
                 },
                 [&](answer_job const& answer)
                 {
--- a/tests/support/domain_cluster.hpp
+++ b/tests/support/domain_cluster.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace goldcrestgate::tests
@@ -48,6 +49,19 @@
     }
     /// @brief Cuts an instance off from all other instances, or ends the cut.
     void set_cut(std::size_t node, bool cut);
+    /// @brief Holds up what one instance sends to another, or delivers it. The
+    /// bytes of a connection that the sender closes meanwhile arrive as well,
+    /// before or after those of the next one.
+    /// @param later time by which the held bytes arrive after those of the next
+    /// connection
+    void set_held(std::size_t from, std::size_t to, bool held,
+                  core::duration later = {});
+    /// @brief Sets the factor of the intervals of heartbeats to other failure
+    /// domains.
+    void set_remote_interval_factor(int factor)
+    {
+        remote_interval_factor_ = factor;
+    }
     /// @brief Resets the connections between two instances: the messages on
     /// their way are lost.
     void reset(std::size_t left, std::size_t right);
@@ -101,6 +115,7 @@
         core::domain_ownership ownership;
         core::job_gateway gateway;
         core::heartbeat_plan plan;
+        core::clock_echoes echoes;
         fleet_owner executors;
         std::set<std::size_t> disconnected;
         bool owner_known = false;
@@ -111,6 +126,8 @@
         std::map<std::size_t, std::uint64_t> resets;
         /// The last known processes of the other instances.
         std::map<std::size_t, core::incarnation> processes;
+        /// Connection on which each other instance sent last.
+        std::map<std::size_t, std::uint64_t> receiving;
         /// Whether the executors of the earlier owner are listed.
         bool roster_known = true;
     };
@@ -133,11 +150,32 @@
     owners(node_state const& node) const;
     void apply(std::size_t node,
                std::vector<core::gateway_action> const& actions);
+    /// A message on its way.
+    struct sent_message
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::uint64_t connection = 0;
+        /// Resets of the connection at the receiver when it was sent.
+        std::uint64_t resets = 0;
+        std::function<void()> work;
+    };
+
     /// Runs an action at another instance after the network delay, unless a cut
     /// or a reset prevents it; at once if both are the same instance.
     void deliver(std::size_t from, std::size_t to, std::function<void()> work);
-    void receive(std::size_t from, std::size_t to, core::time_point sent_at,
-                 std::uint64_t resets, std::function<void()> const& work);
+    void receive(sent_message const& message);
+    /// Time of an instance's clock; the clocks differ.
+    [[nodiscard]] core::time_point clock_of(std::size_t node) const;
+    [[nodiscard]] std::optional<core::message_mark>
+    caller_mark(std::size_t from, std::size_t to) const;
+    void note_callers(std::size_t from, std::size_t to,
+                      std::optional<core::message_mark> const& mark);
+    /// Number of the connection between two instances.
+    [[nodiscard]] std::uint64_t& connection(std::size_t left,
+                                            std::size_t right);
+    /// Whether messages between two instances are held up in either direction.
+    [[nodiscard]] bool is_held(std::size_t left, std::size_t right) const;
     [[nodiscard]] bool is_cut(std::size_t left, std::size_t right) const;
     [[nodiscard]] static std::size_t index_of(core::instance_id instance);
 
@@ -147,6 +185,11 @@
     /// Ended processes, to which answers of executors are still on their way.
     std::vector<std::unique_ptr<node_state>> ended_;
     std::size_t claims_ = 0;
+    int remote_interval_factor_ = 1;
+    /// Messages that are held up, by sender and receiver.
+    std::map<std::pair<std::size_t, std::size_t>, std::vector<sent_message>>
+        held_;
+    std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> connections_;
 };
 
 } // namespace goldcrestgate::tests
--- a/tests/support/resubmission_run.cpp
+++ b/tests/support/resubmission_run.cpp
@@ -28,6 +28,12 @@
 
 constexpr duration run_time = std::chrono::seconds{16};
 
+constexpr duration shortest_cut = milliseconds{200};
+
+/// Longest time by which the bytes that a cut held up arrive after those of
+/// the next connection.
+constexpr duration longest_late_arrival = milliseconds{60};
+
 } // namespace
 
 resubmission_run::resubmission_run(std::uint64_t seed,
@@ -40,6 +46,7 @@
     , cluster_(domain_count, load.instances_per_domain, executors_per_domain)
     , processes_(cluster_.size(), incarnation{1})
 {
+    cluster_.set_remote_interval_factor(load.remote_interval_factor);
     cluster_.on_answer = [this](answer_job const& answer)
     {
         record_answer(answer);
@@ -236,9 +243,66 @@
                 }
             });
     }
+    if (faults_.cuts)
+    {
+        kinds.emplace_back(
+            [this]
+            {
+                cut_off_domain();
+            });
+    }
     kinds[pick(kinds.size())]();
 }
 
+void resubmission_run::cut_off_domain()
+{
+    if (std::exchange(cut_, true))
+    {
+        return;
+    }
+    auto const domain = pick(domain_count);
+    std::vector<std::size_t> inside;
+    std::vector<std::size_t> outside;
+    for (std::size_t node = 0; node < cluster_.size(); ++node)
+    {
+        bool const is_inside = node / load_.instances_per_domain == domain;
+        (is_inside ? inside : outside).push_back(node);
+    }
+    auto const direction = pick(4);
+    constexpr std::uint64_t only_out = 0;
+    constexpr std::uint64_t only_in = 1;
+    if (direction != only_in)
+    {
+        set_held(inside, outside, true);
+    }
+    if (direction != only_out)
+    {
+        set_held(outside, inside, true);
+    }
+    cluster_.fleet().schedule(shortest_cut +
+                                  pick_time(load_.longest_cut - shortest_cut),
+                              [this, inside, outside]
+                              {
+                                  set_held(inside, outside, false);
+                                  set_held(outside, inside, false);
+                                  cut_ = false;
+                              });
+}
+
+void resubmission_run::set_held(std::span<std::size_t const> from,
+                                std::span<std::size_t const> to, bool held)
+{
+    for (auto const sender : from)
+    {
+        for (auto const receiver : to)
+        {
+            cluster_.set_held(sender, receiver, held,
+                              held ? duration{}
+                                   : pick_time(longest_late_arrival));
+        }
+    }
+}
+
 void resubmission_run::pause(std::size_t node, duration time)
 {
     if (!cluster_.is_paused(node) && time > duration{})
@@ -267,9 +331,8 @@
 }
 
 void play_resubmission_seeds(resubmission_faults const& faults,
-                             resubmission_load const& load)
+                             resubmission_load const& load, std::uint64_t seeds)
 {
-    constexpr std::uint64_t seeds = 20;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
     {
         resubmission_run run{seed, faults, load};
--- a/tests/support/resubmission_run.hpp
+++ b/tests/support/resubmission_run.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
     bool joint_restarts = false;
     /// Callers leave at random before their answer.
     bool leaving_callers = false;
+    /// Cuts failure domains off from the others, in one or both directions. The
+    /// messages are held up and arrive when the cut ends.
+    bool cuts = false;
 };
 
 /// @brief Size and load of a @ref resubmission_run.
@@ -42,6 +46,10 @@
     core::duration caller_wait = std::chrono::milliseconds{1500};
     /// Longest pause of an instance.
     core::duration longest_pause = std::chrono::milliseconds{4000};
+    /// Longest cut of a failure domain.
+    core::duration longest_cut = std::chrono::milliseconds{5500};
+    /// Factor of the intervals of heartbeats to other failure domains.
+    int remote_interval_factor = 1;
 };
 
 /// @brief Callers that leave without an answer and submit their jobs again at
@@ -86,6 +94,10 @@
     void inject_fault();
     void pause(std::size_t node, core::duration time);
     void restart(std::size_t node);
+    void cut_off_domain();
+    /// Holds up what the instances of one group send to those of the other.
+    void set_held(std::span<std::size_t const> from,
+                  std::span<std::size_t const> to, bool held);
 
     std::string name_;
     std::mt19937_64 random_;
@@ -93,6 +105,7 @@
     resubmission_load load_;
     domain_cluster cluster_;
     std::vector<core::incarnation> processes_;
+    bool cut_ = false;
     std::map<core::client_job_id, core::leased_job> jobs_;
     std::map<core::client_job_id, int> attempts_of_;
     std::map<core::request_id, attempt> attempts_;
@@ -101,8 +114,9 @@
     std::size_t served_ = 0;
 };
 
-/// @brief Plays 20 seeds and checks each run.
+/// @brief Plays a number of seeds, from 1 on, and checks each run.
 void play_resubmission_seeds(resubmission_faults const& faults,
-                             resubmission_load const& load);
+                             resubmission_load const& load,
+                             std::uint64_t seeds = 20);
 
 } // namespace goldcrestgate::tests
--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(returned_instance_keeps_only_the_jobs_that_it_offers_again);
     CPPUNIT_TEST(offer_before_a_withdrawal_starts_nothing);
     CPPUNIT_TEST(offer_of_an_earlier_term_starts_nothing);
+    CPPUNIT_TEST(outdated_offer_starts_nothing);
+    CPPUNIT_TEST(outdated_offer_does_not_replace_a_later_one);
+    CPPUNIT_TEST(messages_of_another_connection_confirm_no_caller);
     CPPUNIT_TEST(lease_ends_with_the_silence_of_an_instance);
     CPPUNIT_TEST(withdrawn_job_ends_although_its_owner_is_paused);
     CPPUNIT_TEST(late_withdrawal_does_not_prolong_the_lease);
@@ -149,6 +152,82 @@
         }
     }
 
+    // Guards against starts for callers that have left: an offer was held up,
+    // and its receiver took it for a new one.
+    void outdated_offer_starts_nothing()
+    {
+        for (auto const age : {0, 300, 900, 1050, 1300, 2750, 5500})
+        {
+            executor_fleet fleet{2};
+            fleet_owner owner{fleet};
+            owner.start(1);
+            auto const job = tests::make_patient_job(7, milliseconds{4000},
+                                                     milliseconds{6000});
+            fleet.set_work(job.id, milliseconds{4000});
+            auto const sent_at = fleet.now() - milliseconds{age};
+            owner.scheduler.origin_heard(instance_id{2}, sent_at);
+            owner.offer(job, false, instance_id{2});
+            fleet.run_for(milliseconds{50});
+            bool const is_outdated = age > 1000;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{is_outdated ? 0U : 1U},
+                                 fleet.starts(job.id));
+            if (is_outdated)
+            {
+                CPPUNIT_ASSERT(owner.verdicts.at(job.id).outcome ==
+                               job_outcome::not_owner);
+                continue;
+            }
+            owner.pause(std::chrono::seconds{3});
+            fleet.run_for(sent_at + milliseconds{1300} - fleet.now());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(job.id));
+        }
+    }
+
+    // Guards against verdicts that the origin does not expect: a repeated offer
+    // arrived before the one that it repeats.
+    void outdated_offer_does_not_replace_a_later_one()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        auto const job = make_leased_job(7, 1, milliseconds{300});
+        fleet.set_work(job.id, milliseconds{300});
+        for (std::uint64_t const sequence : {6, 5})
+        {
+            job_offer offer{job};
+            offer.sequence = sequence;
+            std::vector<scheduler_action> out;
+            owner.scheduler.offer(instance_id{1}, offer, fleet.now(), out);
+            owner.apply(out);
+        }
+        fleet.run_for(milliseconds{400});
+        expect_completed(owner, job.id);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6},
+                             owner.verdicts.at(job.id).sequence);
+    }
+
+    // Guards against runs without a caller: a withdrawal was lost with its
+    // connection, and messages on the next one confirmed the job.
+    void messages_of_another_connection_confirm_no_caller()
+    {
+        executor_fleet fleet{2};
+        fleet_owner owner{fleet};
+        owner.start(1);
+        auto const job =
+            tests::make_patient_job(7, milliseconds{4000}, milliseconds{6000});
+        fleet.set_work(job.id, milliseconds{4000});
+        owner.scheduler.origin_heard(instance_id{2}, fleet.now(), 1);
+        owner.offer(job, false, instance_id{2});
+        hear_often(fleet, owner, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(job.id));
+        hear_often(fleet, owner, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.running(job.id));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.starts(job.id));
+        owner.offer(job, true, instance_id{2});
+        hear_often(fleet, owner, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.running(job.id));
+    }
+
     // Guards against runs beside those of a resubmission: an instance stood
     // still, and the owner was paused before it cancelled the instance's jobs.
     void lease_ends_with_the_silence_of_an_instance()
@@ -210,6 +289,19 @@
     }
 
 private:
+    /// Lets messages of an instance arrive on a connection until the callers of
+    /// its earlier ones may submit their jobs again.
+    static void hear_often(executor_fleet& fleet, fleet_owner& owner,
+                           std::uint64_t connection)
+    {
+        for (int i = 0; i < 14; ++i)
+        {
+            owner.scheduler.origin_heard(instance_id{2}, fleet.now(),
+                                         connection);
+            fleet.run_for(milliseconds{100});
+        }
+    }
+
     static void start_long_run(fleet_owner& owner)
     {
         owner.submit(
