--- a/tests/failure/harness/leased.py
+++ b/tests/failure/harness/leased.py
@@ -6,7 +6,8 @@
 of one task, and a start with a payload that no caller has sent.
 
 Tests can inject faults into the store and the executors and, with
-`has_relays`, into the connections to them."""
+`has_relays`, into the connections to them, and with `has_links` cut the links
+between the instances."""
 
 import base64
 import json
@@ -22,6 +23,7 @@
 from urllib.parse import parse_qs, urlparse
 
 from . import http_json
+from .peer_link import PeerLink
 from .processes import Process, free_port, loopback_address, wait_until
 from .relay import Relay
 
@@ -116,7 +118,8 @@
             self.topics.setdefault(topic, []).append((key, value))
             self.changed.notify_all()
 
-    def handle(self, path, query, body):
+    def handle(self, path, query, body, links=None):
+        """`links` replace the addresses of instances in what is read."""
         time.sleep(self.slow_s)
         if self.down:
             return 503, b""
@@ -124,9 +127,9 @@
             answer = self.append(query["topic"], body)
             return None if self.loses_responses else answer
         if path == "/api/log-newest":
-            return self.newest(query["topic"])
+            return self.newest(query["topic"], links or {})
         return self.read(query["topic"], int(query["from"]),
-                         int(query.get("wait_ms", 0)) / 1000)
+                         int(query.get("wait_ms", 0)) / 1000, links or {})
 
     def append(self, topic, body):
         with self.changed:
@@ -142,9 +145,9 @@
             return 200, json.dumps({"offset": first,
                                     "end_offset": len(records)}).encode()
 
-    def newest(self, topic):
+    def newest(self, topic, links):
         with self.changed:
-            records = self.topics.get(topic, [])
+            records = through_links(self.topics.get(topic, []), links)
             latest = {key: (value, offset)
                       for offset, (key, value) in enumerate(records)}
             items = [{"key": key, "offset": offset,
@@ -153,7 +156,7 @@
             return 200, json.dumps({"items": items, "has_more": False,
                                     "end_offset": len(records)}).encode()
 
-    def read(self, topic, start, wait_s):
+    def read(self, topic, start, wait_s, links):
         with self.changed:
             self.changed.wait_for(
                 lambda: len(self.topics.get(topic, [])) > start, wait_s)
@@ -161,12 +164,34 @@
             if start < min(self.first_offset, len(records)):
                 return 410, b""
             out = struct.pack(">QQ", len(records), 0)
-            for key, value in records[start:]:
+            for key, value in through_links(records[start:], links):
                 content = bytes([len(key)]) + key.encode() + value
                 out += struct.pack(">I", len(content)) + content
             return 200, out
 
 
+def through_links(records, links):
+    """The records with the addresses of links in place of instances."""
+    replaced = []
+    for key, value in records:
+        link = links.get(key)
+        replaced.append((link.address, link.address.encode()) if link
+                        else (key, value))
+    return replaced
+
+
+class StoreFront(Service):
+    """The store as one instance sees it, whose links lead to the others."""
+
+    def __init__(self, store, links):
+        self.store = store
+        self.links = links
+        super().__init__()
+
+    def handle(self, path, query, body):
+        return self.store.handle(path, query, body, self.links)
+
+
 class Executor(Service):
     """Executor with capacity for two tasks of 27 cores each.
 
@@ -318,6 +343,9 @@
         # Sections of settings and environment variables to add at a start.
         self.extra_settings = {}
         self.environment = {}
+        # Links to the other instances by their addresses.
+        self.links = {}
+        self.store_front = None
         self.relay = Relay(system.store.address) if system.has_relays else None
 
     def start(self):
@@ -359,7 +387,7 @@
                 for section, values in self.extra_settings.items()}
 
     def store_address(self):
-        return (self.relay or self.system.store).address
+        return (self.store_front or self.relay or self.system.store).address
 
     def ready(self):
         self.process.check_running()
@@ -393,7 +421,7 @@
     """Store, executors and entry instances; stops them on exit from `with`."""
 
     def __init__(self, build_dir, instances=2, speeds=(1, 1, 2, 2),
-                 has_relays=False, domains=("north",)):
+                 has_relays=False, domains=("north",), has_links=False):
         """`instances` and `speeds` are those of each failure domain."""
         self.build_dir = build_dir
         self.domains = domains
@@ -419,6 +447,22 @@
             EntryInstance(self, 2 + index, domain)
             for index, domain in enumerate(
                 domain for domain in domains for _ in range(instances))]
+        if has_links:
+            self.add_links()
+
+    def add_links(self):
+        for instance in self.instances:
+            instance.links = {other.peers_address: PeerLink(other.peers_address)
+                              for other in self.instances
+                              if other is not instance}
+            instance.store_front = StoreFront(self.store, instance.links)
+
+    def links_between(self, some, others):
+        """Pairs of a link and whether an instance of `some` opens it."""
+        pairs = [(one, other) for one in some for other in others]
+        return [(one.links[other.peers_address], True)
+                for one, other in pairs] + \
+            [(other.links[one.peers_address], False) for one, other in pairs]
 
     def __enter__(self):
         for instance in self.instances:
@@ -455,6 +499,11 @@
             instance.process.close()
         for service in [*self.relays(), self.store, *self.executors]:
             service.close()
+        for instance in self.instances:
+            if instance.store_front:
+                instance.store_front.close()
+            for link in instance.links.values():
+                link.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def list_executor(self, executor):
