Name the time as of which a message tells its sender's state

"Held" meant both that bytes are held up and that a message holds, so the latter is as_of now. failure.cut_domains cuts the links during a burst of jobs, through seed addresses that lead to the links; otherwise instances tell each other addresses that bypass them.

--- a/include/goldcrestgate/core/leasing/detail/job_record.hpp
+++ b/include/goldcrestgate/core/leasing/detail/job_record.hpp
@@ -142,8 +142,8 @@
     std::uint64_t connection = 0;
     /// Time at which the callers of its open jobs were last known to wait.
     time_point callers_seen_at{};
-    /// Time before which the last message did not hold.
-    time_point message_held_since{};
+    /// Time as of which the last message told it.
+    time_point message_as_of{};
 };
 
 /// @brief A withdrawal, after which offers with lower numbers are not valid.
--- a/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
+++ b/include/goldcrestgate/core/leasing/detail/scheduler_state.hpp
@@ -160,7 +160,7 @@
     /// Renewals of the token since ownership was taken.
     std::uint64_t token_renewals = 0;
     time_point owner_since{};
-    /// By the instance that has the callers.
+    /// News of callers, by the instance that has them.
     std::map<instance_id, origin_news> heard;
     /// Whether all executors of the earlier owner are listed.
     bool roster_known = false;
@@ -600,10 +600,10 @@
     [[nodiscard]] time_point lease_limit(run_record const& run) const;
     /// Records news of the callers of an instance.
     void note_callers(instance_id instance, origin_news const& news);
-    /// Time before which the last message of an instance did not hold; now if
+    /// Time as of which the last message of an instance told its state; now if
     /// it has sent none.
-    [[nodiscard]] time_point message_held_since(instance_id instance,
-                                                time_point now) const;
+    [[nodiscard]] time_point message_as_of(instance_id instance,
+                                           time_point now) const;
     /// Records that the instance of a job's caller has offered the job.
     void note_offer(job_record& job, instance_id origin,
                     std::uint64_t sequence) const;
--- a/include/goldcrestgate/core/leasing/job_messages.hpp
+++ b/include/goldcrestgate/core/leasing/job_messages.hpp
@@ -49,7 +49,8 @@
     std::uint64_t sequence = 0;
     /// Time since the caller has left.
     duration elapsed{};
-    /// Time from which `elapsed` counts back; empty as in @ref job_offer.
+    /// Time from which `elapsed` counts back, or an earlier one; empty as in
+    /// @ref job_offer.
     std::optional<message_mark> mark{};
 };
 
--- a/include/goldcrestgate/core/leasing/job_scheduler.hpp
+++ b/include/goldcrestgate/core/leasing/job_scheduler.hpp
@@ -137,10 +137,10 @@
     /// @brief Records that the callers of an instance's open jobs waited at a
     /// time. Starts and leases for them are limited by it. To be called before
     /// an offer or a withdrawal of the instance is handled.
-    /// @param held_since a time before which the message did not hold
+    /// @param as_of that time, or an earlier one
     /// @param connection the connection of the message; a message confirms only
     /// the jobs that were offered on its connection
-    void origin_heard(instance_id origin, time_point held_since,
+    void origin_heard(instance_id origin, time_point as_of,
                       std::uint64_t connection = 0);
 
     /// @brief Handles the return of an instance that was only silent. Its jobs
--- a/include/goldcrestgate/core/leasing/message_mark.hpp
+++ b/include/goldcrestgate/core/leasing/message_mark.hpp
@@ -20,8 +20,8 @@
 {
     /// Reading of the receiver's clock, see @ref clock_reading.
     std::uint32_t echo = 0;
-    /// Milliseconds from the arrival of the reading to the time for which the
-    /// message holds; negative if it tells what was the case before.
+    /// Milliseconds from the arrival of the reading to the time as of which the
+    /// message tells the sender's state; negative if that was before.
     std::int32_t since_echo_ms = 0;
 };
 
@@ -30,12 +30,12 @@
 /// Safe to call from any thread.
 [[nodiscard]] std::uint32_t clock_reading(time_point now);
 
-/// @brief Returns a time, not after @a now, before which a message did not
-/// hold yet.
+/// @brief Returns the time as of which a message tells the state of its sender,
+/// or an earlier one. It is not after @a now.
 /// @param now time at the receiver of the message
 /// @par Thread safety
 /// Safe to call from any thread.
-[[nodiscard]] time_point held_since(message_mark const& mark, time_point now);
+[[nodiscard]] time_point message_time(message_mark const& mark, time_point now);
 
 /// @brief The clock readings that other instances have sent last.
 ///
@@ -52,10 +52,10 @@
     void forget(instance_id peer);
 
     /// @brief Returns the mark of a message to an instance.
-    /// @param holds_at time for which the message holds
+    /// @param as_of time as of which the message tells the sender's state
     /// @return nothing if the instance has sent no reading
-    [[nodiscard]] std::optional<message_mark>
-    mark_for(instance_id peer, time_point holds_at) const;
+    [[nodiscard]] std::optional<message_mark> mark_for(instance_id peer,
+                                                       time_point as_of) const;
 
 private:
     struct received_reading
--- a/src/app/entry/entry_peers.cpp
+++ b/src/app/entry/entry_peers.cpp
@@ -338,7 +338,7 @@
                                   std::optional<core::message_mark> const& mark)
 {
     scheduler_.origin_heard(received.from.instance,
-                            mark ? core::held_since(*mark, loop_.now())
+                            mark ? core::message_time(*mark, loop_.now())
                                  : loop_.input_since(),
                             received.connection);
 }
--- a/src/core/leasing/job_scheduler.cpp
+++ b/src/core/leasing/job_scheduler.cpp
@@ -266,8 +266,7 @@
     }
     // The runs may still serve a resubmission by the caller, so they continue
     // for some time, but their leases end before it may arrive elsewhere.
-    auto const left_at =
-        state_.message_held_since(origin, now) - withdrawal.elapsed;
+    auto const left_at = state_.message_as_of(origin, now) - withdrawal.elapsed;
     state_.note_absence(record, left_at);
     auto stop_at = state_.callers.stop_at(left_at);
     if (auto const& earlier = record.cancellation)
@@ -291,10 +290,10 @@
     }
 }
 
-void job_scheduler::origin_heard(instance_id origin, time_point held_since,
+void job_scheduler::origin_heard(instance_id origin, time_point as_of,
                                  std::uint64_t connection)
 {
-    state_.note_callers(origin, {connection, held_since, held_since});
+    state_.note_callers(origin, {connection, as_of, as_of});
 }
 
 void job_scheduler::origin_returned(instance_id origin, time_point now)
--- a/src/core/leasing/message_mark.cpp
+++ b/src/core/leasing/message_mark.cpp
@@ -24,7 +24,7 @@
         std::chrono::floor<milliseconds>(now.time_since_epoch()).count());
 }
 
-time_point held_since(message_mark const& mark, time_point now)
+time_point message_time(message_mark const& mark, time_point now)
 {
     // The difference is right across a wrap-around of the readings. A reading
     // of another clock may seem to be in the future; it then counts as old.
@@ -33,8 +33,8 @@
     milliseconds const since_echo{mark.since_echo_ms};
     auto const factor =
         since_echo > duration{} ? 1.0 / clock_drift : clock_drift;
-    auto const held = detail::scale_duration(since_echo, factor);
-    return std::min(now, now - echo_age + held);
+    return std::min(now, now - echo_age +
+                             detail::scale_duration(since_echo, factor));
 }
 
 void clock_echoes::received(instance_id peer, std::uint32_t reading,
@@ -49,7 +49,7 @@
 }
 
 std::optional<message_mark> clock_echoes::mark_for(instance_id peer,
-                                                   time_point holds_at) const
+                                                   time_point as_of) const
 {
     auto const found = readings_.find(peer);
     if (found == readings_.end())
@@ -58,7 +58,7 @@
     }
     constexpr std::int64_t longest = std::numeric_limits<std::int32_t>::max();
     auto const since =
-        std::chrono::floor<milliseconds>(holds_at - found->second.at);
+        std::chrono::floor<milliseconds>(as_of - found->second.at);
     return message_mark{found->second.reading,
                         static_cast<std::int32_t>(std::clamp<std::int64_t>(
                             since.count(), -longest, longest))};
--- a/src/core/leasing/scheduler_callers.cpp
+++ b/src/core/leasing/scheduler_callers.cpp
@@ -29,16 +29,15 @@
     }
     known.callers_seen_at =
         std::max(known.callers_seen_at, news.callers_seen_at);
-    known.message_held_since = news.message_held_since;
+    known.message_as_of = news.message_as_of;
 }
 
-time_point scheduler_state::message_held_since(instance_id instance,
-                                               time_point now) const
+time_point scheduler_state::message_as_of(instance_id instance,
+                                          time_point now) const
 {
     auto const found = heard.find(instance);
-    return found == heard.end()
-               ? now
-               : std::min(now, found->second.message_held_since);
+    return found == heard.end() ? now
+                                : std::min(now, found->second.message_as_of);
 }
 
 void scheduler_state::note_offer(job_record& job, instance_id origin,
@@ -47,8 +46,8 @@
     auto const news = heard.find(origin);
     job.origin = origin;
     job.sequence = sequence;
-    job.caller_seen_at = news == heard.end() ? time_point::min()
-                                             : news->second.message_held_since;
+    job.caller_seen_at =
+        news == heard.end() ? time_point::min() : news->second.message_as_of;
     job.caller_connection = news == heard.end() ? 0 : news->second.connection;
 }
 
@@ -78,14 +77,14 @@
                                       job_offer const& offered,
                                       scheduler_context& context) const
 {
-    auto const held_since = message_held_since(origin, context.now);
-    if (callers.allow_starts(held_since, context.now))
+    auto const as_of = message_as_of(origin, context.now);
+    if (callers.allow_starts(as_of, context.now))
     {
         return false;
     }
     scheduler_log_event log_event{.event = "offer_outdated",
                                   .job = offered.job.id};
-    log_event.caller_age = context.now - held_since;
+    log_event.caller_age = context.now - as_of;
     context.out.emplace_back(log_event);
     context.out.emplace_back(report_verdict{
         origin,
--- a/tests/failure/harness/leased.py
+++ b/tests/failure/harness/leased.py
@@ -353,6 +353,10 @@
         settings = {
             "instance": {"name": self.name, "failure_domain": self.domain,
                          "failure_domains": ",".join(self.system.domains),
+                         # Instances that do not know each other tell their
+                         # own addresses, which do not lead through links.
+                         "seed_addresses": ",".join(
+                             link.address for link in self.links.values()),
                          "cpu_share": 1.0},
             "listen": {"callers_address": self.callers_address,
                        "readiness_address": self.readiness_address,
