--- a/tests/support/domain_cluster.hpp
+++ b/tests/support/domain_cluster.hpp
@@ -52,8 +52,8 @@
     /// @brief Holds up what one instance sends to another, or delivers it. The
     /// bytes of a connection that the sender closes meanwhile arrive as well,
     /// before or after those of the next one.
-    /// @param later time by which the held bytes arrive after those of the next
-    /// connection
+    /// @param later time by which the bytes of a closed connection arrive after
+    /// those of the next one
     void set_held(std::size_t from, std::size_t to, bool held,
                   core::duration later = {});
     /// @brief Sets the factor of the intervals of heartbeats to other failure
