Name the conditions on offers and bounds by what they mean

Cause: read as a newcomer would, `later` did not say that it saturates, and `is_repeated_later` not that a later offer of the job is known.

Change: they are `add_saturating` and `is_superseded`. No behaviour changes.

--- a/src/core/leasing/caller_bounds.cpp
+++ b/src/core/leasing/caller_bounds.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// Adds without an overflow at `time_point::max()`.
-time_point later(time_point time, duration span)
+/// Returns `time_point::max()` instead of a later time.
+time_point add_saturating(time_point time, duration span)
 {
     return time > time_point::max() - span ? time_point::max() : time + span;
 }
@@ -20,7 +20,7 @@
 // on their own clocks, and orders take time to arrive.
 time_point caller_bounds::lease_end(time_point waiting_at) const
 {
-    return later(waiting_at, resubmission_delay_ - 2 * stop_time_);
+    return add_saturating(waiting_at, resubmission_delay_ - 2 * stop_time_);
 }
 
 bool caller_bounds::allow_starts(time_point waiting_at, time_point now) const
@@ -37,12 +37,12 @@
 
 time_point caller_bounds::stop_at(time_point left_at) const
 {
-    return later(left_at, resubmission_delay_ / 2);
+    return add_saturating(left_at, resubmission_delay_ / 2);
 }
 
 time_point caller_bounds::resubmission_at(time_point waiting_at) const
 {
-    return later(waiting_at, resubmission_delay_);
+    return add_saturating(waiting_at, resubmission_delay_);
 }
 
 } // namespace goldcrestgate::core
--- a/src/core/leasing/scheduler_jobs.cpp
+++ b/src/core/leasing/scheduler_jobs.cpp
@@ -94,10 +94,9 @@
         offered.resumed && !offered.only_offered_here;
     if (auto const known = jobs.find(id); known != jobs.end())
     {
-        bool const is_repeated_later =
-            known->second.origin == origin &&
-            offered.sequence < known->second.sequence;
-        if (is_repeated_later)
+        bool const is_superseded = known->second.origin == origin &&
+                                   offered.sequence < known->second.sequence;
+        if (is_superseded)
         {
             return;
         }
