--- a/tests/unit/absent_callers.cpp
+++ b/tests/unit/absent_callers.cpp
@@ -192,7 +192,7 @@
         owner.start(1);
         auto const job = make_leased_job(7, 1, milliseconds{300});
         fleet.set_work(job.id, milliseconds{300});
-        for (std::uint64_t const sequence : {6, 5})
+        for (auto const sequence : {std::uint64_t{6}, std::uint64_t{5}})
         {
             job_offer offer{job};
             offer.sequence = sequence;
