Deliver offers and withdrawals in simulated clusters by one function

Change: deliver_to_scheduler delivers either of them. Behaviour and assertions are the same; no product code changes.

--- a/tests/support/domain_cluster.cpp
+++ b/tests/support/domain_cluster.cpp
@@ -334,6 +334,24 @@
                     });
 }
 
+void domain_cluster::deliver_to_scheduler(
+    std::size_t from, std::size_t to, std::optional<message_mark> const& mark,
+    scheduler_handler handle)
+{
+    deliver(from, to,
+            [this, from, to, mark, handle = std::move(handle)]
+            {
+                if (from != to)
+                {
+                    note_callers(from, to, mark);
+                }
+                auto& target = nodes_[to]->executors;
+                std::vector<scheduler_action> out;
+                handle(target.scheduler, fleet_.now(), out);
+                target.apply(out);
+            });
+}
+
 void domain_cluster::receive(sent_message const& message)
 {
     auto const from = message.from;
@@ -570,41 +588,30 @@
             detail::overloaded{
                 [&](send_offer const& offered)
                 {
-                    auto const owner = index_of(offered.owner);
                     auto offer = offered.offer;
-                    offer.mark = caller_mark(node, owner);
-                    deliver(node, owner,
-                            [this, node, owner, origin, offer]
-                            {
-                                if (node != owner)
-                                {
-                                    note_callers(node, owner, offer.mark);
-                                }
-                                auto& target = nodes_[owner]->executors;
-                                std::vector<scheduler_action> out;
-                                target.scheduler.offer(origin, offer,
-                                                       fleet_.now(), out);
-                                target.apply(out);
-                            });
+                    offer.mark = caller_mark(node, index_of(offered.owner));
+                    deliver_to_scheduler(
+                        node, index_of(offered.owner), offer.mark,
+                        [origin, offer](job_scheduler& scheduler,
+                                        time_point now,
+                                        std::vector<scheduler_action>& out)
+                        {
+                            scheduler.offer(origin, offer, now, out);
+                        });
                 },
                 [&](send_withdrawal const& withdrawn)
                 {
-                    auto const owner = index_of(withdrawn.owner);
                     auto withdrawal = withdrawn.withdrawal;
-                    withdrawal.mark = caller_mark(node, owner);
-                    deliver(node, owner,
-                            [this, node, owner, origin, withdrawal]
-                            {
-                                if (node != owner)
-                                {
-                                    note_callers(node, owner, withdrawal.mark);
-                                }
-                                auto& target = nodes_[owner]->executors;
-                                std::vector<scheduler_action> out;
-                                target.scheduler.withdraw(origin, withdrawal,
-                                                          fleet_.now(), out);
-                                target.apply(out);
-                            });
+                    withdrawal.mark =
+                        caller_mark(node, index_of(withdrawn.owner));
+                    deliver_to_scheduler(
+                        node, index_of(withdrawn.owner), withdrawal.mark,
+                        [origin, withdrawal](job_scheduler& scheduler,
+                                             time_point now,
+                                             std::vector<scheduler_action>& out)
+                        {
+                            scheduler.withdraw(origin, withdrawal, now, out);
+                        });
                 },
                 [&](answer_job const& answer)
                 {
--- a/tests/support/domain_cluster.hpp
+++ b/tests/support/domain_cluster.hpp
@@ -164,6 +164,15 @@
     /// Runs an action at another instance after the network delay, unless a cut
     /// or a reset prevents it; at once if both are the same instance.
     void deliver(std::size_t from, std::size_t to, std::function<void()> work);
+    /// Handles a message at a scheduler.
+    using scheduler_handler =
+        std::function<void(core::job_scheduler&, core::time_point,
+                           std::vector<core::scheduler_action>&)>;
+    /// Delivers an offer or a withdrawal. The receiver first records until when
+    /// the callers of the sender waited, unless both are the same instance.
+    void deliver_to_scheduler(std::size_t from, std::size_t to,
+                              std::optional<core::message_mark> const& mark,
+                              scheduler_handler handle);
     void receive(sent_message const& message);
     /// Time of an instance's clock; the clocks differ.
     [[nodiscard]] core::time_point clock_of(std::size_t node) const;
